--- /dev/null
+++ b/crates/dunepond-decide/src/decide.rs
@@ -0,0 +1,733 @@
+//! Every decision of a dunepond broker, and every figure tuned for one.
+//!
+//! How to call it: `Broker::new` with what the deployment states, then `listed` for each word of the
+//! node list, `scan` for each scan with its parts, `second_step` for parts that an answer brought,
+//! `ended` once for each dispatch, `wake` when asked for, `client_left` when the client has gone. Each
+//! call may give orders through `Host`. Plain types and `Host` are defined in `lib.rs`, beside this file.
+//!
+//! A scan passes `DOWN`, a chain of stages, at its arrival and again whenever something may have changed:
+//! admission, time, tally, fork, further dispatches. What comes back from a node passes `UP`, the other
+//! way: health first, then the scan that waits for it. Why each departure from the plain (n, k) fork-join
+//! read is there, and when it acts, is told in docs/design.md.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Deployment, End, Ended, Host, Listed, NodeId, Part, Repeat, Scan, ScanId, Standing};
+
+/// Samples kept of the whole fleet, and of one node.
+const FLEET_SAMPLES: usize = 64;
+const NODE_SAMPLES: usize = 8;
+/// A node is slow when its usual time is this multiple of the fleet's.
+const SLOW: f64 = 2.5;
+/// A node is silent after this multiple of what nearly all dispatches take.
+const SILENT: f64 = 1.5;
+/// Faults among a node's samples that set it aside; a natural error now and then must not.
+const FAULTS: usize = 2;
+/// Share of the fleet that may be set aside for slowness: the rest must carry its load.
+const SLOW_SHARE: f64 = 0.25;
+/// A node set aside rests for this multiple of what nearly all dispatches take, before its first trial.
+const REST: f64 = 3.0;
+/// A trickle this wide ends the setting aside.
+const TRICKLE_END: usize = 8;
+/// Oldest wait, as a share of the target time, from which scans are turned away; at 1 all are.
+const PRESSED: f64 = 0.45;
+
+enum Pass {
+    On,
+    Keep,
+    End,
+}
+
+type Down = fn(&mut Broker, &mut dyn Host, &mut Held) -> Pass;
+type Up = fn(&mut Broker, &mut dyn Host, &Ended);
+
+const DOWN: [Down; 5] = [Broker::admit, Broker::in_time, Broker::tally, Broker::fork, Broker::further];
+const UP: [Up; 2] = [Broker::health, Broker::returned];
+
+struct Shot {
+    node: NodeId,
+    at: f64,
+    end: Option<End>,
+}
+
+struct Piece {
+    seg: usize,
+    weight: f64,
+    done: bool,
+    shots: Vec<Shot>,
+}
+
+/// A scan that has been taken and not ended.
+struct Held {
+    id: ScanId,
+    table_type: usize,
+    customer: usize,
+    admitted: bool,
+    born: f64,
+    target_at: f64,
+    ends_at: f64,
+    pieces: Vec<Piece>,
+    /// Where the pieces of the present step begin.
+    step_from: usize,
+    second: bool,
+}
+
+struct Out {
+    scan: ScanId,
+    part: usize,
+    shot: usize,
+    at: f64,
+}
+
+struct Sample {
+    took: f64,
+    fault: bool,
+}
+
+/// A node that new work keeps away from, but for a trickle.
+struct Aside {
+    /// It gave nothing, or faults; otherwise it is only slow.
+    barren: bool,
+    again: f64,
+    room: usize,
+}
+
+struct Node {
+    cell: usize,
+    standing: Standing,
+    started: f64,
+    heard: f64,
+    outs: Vec<Out>,
+    /// When the node should be through with dispatches that we no longer wait for.
+    ghosts: Vec<f64>,
+    samples: VecDeque<Sample>,
+    sent_cold: VecDeque<f64>,
+    aside: Option<Aside>,
+}
+
+pub struct Broker {
+    site: Deployment,
+    now: f64,
+    rng: Pcg64Mcg,
+    nodes: Vec<Option<Node>>,
+    scans: BTreeMap<ScanId, Held>,
+    fleet: VecDeque<f64>,
+    /// Benefit for the work of the last scans that came.
+    density: VecDeque<f64>,
+    /// Scans taken within its share, by customer.
+    within: Vec<VecDeque<f64>>,
+    /// For each table type, the longest time that a client's first try was given.
+    full_try: Vec<f64>,
+    taken: VecDeque<(f64, f64)>,
+    again: VecDeque<f64>,
+    armed: bool,
+    /// What dispatches take at the median and nearly all of them, and the pressure with its instant: each
+    /// worked out once for all that ask, since a burst asks thousands of times in one call.
+    median: f64,
+    nearly_all: f64,
+    pressed: (f64, f64),
+}
+
+fn never_ran(end: Option<End>) -> bool {
+    matches!(end, Some(End::Full | End::NoConnection | End::NotSent))
+}
+
+fn quantile(samples: impl Iterator<Item = f64>, q: f64) -> Option<f64> {
+    let mut sorted: Vec<f64> = samples.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(((sorted.len() as f64 * q) as usize).min(sorted.len().saturating_sub(1))).copied()
+}
+
+fn keep_last<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
+    samples.push_back(sample);
+    if samples.len() > most {
+        samples.pop_front();
+    }
+}
+
+impl Piece {
+    fn out(&self) -> impl Iterator<Item = &Shot> {
+        self.shots.iter().filter(|s| s.end.is_none())
+    }
+}
+
+impl Held {
+    fn step(&self) -> &[Piece] {
+        &self.pieces[self.step_from..]
+    }
+
+    fn weight(&self, counts: impl Fn(&Piece) -> bool) -> f64 {
+        self.step().iter().filter(|p| counts(p)).map(|p| p.weight).sum()
+    }
+}
+
+impl Node {
+    /// What part of its capacity a node that started lately has at least.
+    fn warmth(&self, site: &Deployment, now: f64) -> f64 {
+        let aged = ((now - self.started) / site.cold.warm_after).clamp(0.0, 1.0);
+        site.cold.from + (1.0 - site.cold.from) * aged
+    }
+
+    fn outstanding(&self) -> f64 {
+        (self.outs.len() + self.ghosts.len()) as f64
+    }
+
+    /// How long it has been silent while it owed us something.
+    fn silent(&self, now: f64) -> f64 {
+        self.outs.first().map_or(0.0, |oldest| now - oldest.at.max(self.heard))
+    }
+}
+
+impl Broker {
+    pub fn new(site: Deployment) -> Self {
+        let mut broker = Self {
+            now: 0.0,
+            rng: Pcg64Mcg::seed_from_u64(site.seed),
+            nodes: Vec::new(),
+            scans: BTreeMap::new(),
+            fleet: VecDeque::new(),
+            density: VecDeque::new(),
+            within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
+            full_try: site.table_types.iter().map(|_| 0.0).collect(),
+            taken: VecDeque::new(),
+            again: VecDeque::new(),
+            armed: false,
+            median: 0.0,
+            nearly_all: 0.0,
+            pressed: (f64::MIN, 0.0),
+            site,
+        };
+        broker.measure();
+        broker
+    }
+
+    pub fn listed(&mut self, host: &mut dyn Host, complete: bool, rows: &[Listed]) {
+        self.now = host.now();
+        if complete {
+            for node in self.nodes.iter_mut().flatten() {
+                node.standing = Standing::Gone;
+            }
+        }
+        for row in rows {
+            if self.nodes.len() <= row.node {
+                self.nodes.resize_with(row.node + 1, || None);
+            }
+            let node = self.nodes[row.node].get_or_insert_with(|| Node {
+                cell: row.cell,
+                standing: row.standing,
+                started: row.started,
+                heard: f64::MIN,
+                outs: Vec::new(),
+                ghosts: Vec::new(),
+                samples: VecDeque::new(),
+                sent_cold: VecDeque::new(),
+                aside: None,
+            });
+            node.cell = row.cell;
+            node.standing = row.standing;
+            if row.started > node.started {
+                // A new process under the old name: what we hold against the old one says nothing of it.
+                node.started = row.started;
+                node.samples.clear();
+                node.ghosts.clear();
+                node.aside = None;
+            }
+        }
+    }
+
+    pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
+        self.now = host.now();
+        self.taken.push_back((self.now, 1.0 + scan.parts.len() as f64));
+        let kind = &self.site.table_types[scan.table_type];
+        // A further try has used up part of its client's time; how much shows only once it is given less
+        // than a first try.
+        let full = &mut self.full_try[scan.table_type];
+        let spent =
+            if !scan.resent || scan.expires_in >= *full { 0.0 } else { kind.timeout - scan.expires_in };
+        *full = full.max(scan.expires_in);
+        let held = Held {
+            id: scan.id,
+            table_type: scan.table_type,
+            customer: scan.customer,
+            admitted: false,
+            born: self.now,
+            target_at: self.now + (kind.target - spent).max(0.0),
+            ends_at: self.now + scan.expires_in,
+            pieces: Vec::new(),
+            step_from: 0,
+            second: false,
+        };
+        self.enter(host, held, scan.parts);
+        self.arm(host);
+    }
+
+    pub fn second_step(&mut self, host: &mut dyn Host, scan: ScanId, parts: Vec<Part>) {
+        self.now = host.now();
+        self.taken.push_back((self.now, parts.len() as f64));
+        if let Some(mut held) = self.scans.remove(&scan) {
+            held.second = true;
+            self.enter(host, held, parts);
+        }
+    }
+
+    pub fn ended(&mut self, host: &mut dyn Host, ended: Ended) {
+        self.now = host.now();
+        for stage in UP {
+            stage(self, host, &ended);
+        }
+    }
+
+    pub fn client_left(&mut self, host: &mut dyn Host, scan: ScanId) {
+        self.now = host.now();
+        if let Some(held) = self.scans.remove(&scan) {
+            self.close(host, &held);
+        }
+    }
+
+    pub fn wake(&mut self, host: &mut dyn Host) {
+        self.now = host.now();
+        self.armed = false;
+        for node in 0..self.nodes.len() {
+            self.judge(host, node);
+        }
+        for id in self.scans.keys().copied().collect::<Vec<_>>() {
+            self.pass(host, id);
+        }
+        self.arm(host);
+    }
+
+    fn arm(&mut self, host: &mut dyn Host) {
+        if !self.armed && !self.scans.is_empty() {
+            self.armed = true;
+            host.wake_at(self.now + 5.0 * self.site.tick);
+        }
+    }
+
+    fn enter(&mut self, host: &mut dyn Host, mut held: Held, parts: Vec<Part>) {
+        let pieces =
+            parts.into_iter().map(|p| Piece { seg: p.seg, weight: p.weight, done: false, shots: Vec::new() });
+        held.pieces.extend(pieces);
+        let id = held.id;
+        self.scans.insert(id, held);
+        self.pass(host, id);
+    }
+
+    fn pass(&mut self, host: &mut dyn Host, id: ScanId) {
+        let Some(mut held) = self.scans.remove(&id) else { return };
+        for stage in DOWN {
+            match stage(self, host, &mut held) {
+                Pass::On => {}
+                Pass::Keep => break,
+                Pass::End => return self.close(host, &held),
+            }
+        }
+        self.scans.insert(id, held);
+    }
+
+    fn close(&mut self, host: &mut dyn Host, held: &Held) {
+        if self.site.may_cancel {
+            for (part, piece) in held.pieces.iter().enumerate() {
+                for (shot, _) in piece.shots.iter().enumerate().filter(|(_, s)| s.end.is_none()) {
+                    host.cancel(held.id, part, shot);
+                }
+            }
+        }
+        host.forget(held.id);
+    }
+
+    // ---- admission
+
+    /// Share of its target time that the oldest scan has waited, leaving out those that wait only for
+    /// nodes in doubt: a dead node is no overload, and turning scans away would not revive it.
+    fn pressure(&mut self) -> f64 {
+        if self.pressed.0 == self.now {
+            return self.pressed.1;
+        }
+        let doubtful = self.nearly_all;
+        let in_doubt = |shot: &Shot| {
+            self.nodes[shot.node].as_ref().is_some_and(|n| n.aside.is_some() || n.silent(self.now) > doubtful)
+        };
+        let waits = |h: &&Held| {
+            let mut out = h.step().iter().filter(|p| !p.done).flat_map(Piece::out).peekable();
+            out.peek().is_some() && !out.all(in_doubt)
+        };
+        let wait = |h: &Held| (self.now - h.born) / self.site.table_types[h.table_type].target;
+        self.pressed = (self.now, self.scans.values().filter(waits).map(wait).fold(0.0, f64::max));
+        self.pressed.1
+    }
+
+    /// Under overload the least benefit goes first: beyond a customer's share, then late, then dear.
+    fn admit(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
+        if held.admitted {
+            return Pass::On;
+        }
+        held.admitted = true;
+        let kind = &self.site.table_types[held.table_type];
+        let late = self.now + self.median > held.target_at;
+        if late && kind.late <= 0.0 {
+            return self.give_up(host, held);
+        }
+        let work = if self.site.benefit_by_work { 1.0 } else { held.pieces.len() as f64 * kind.whole_at };
+        let density = kind.benefit * if late { kind.late } else { 1.0 } / work;
+        keep_last(&mut self.density, density, FLEET_SAMPLES);
+        let below = self.density.iter().filter(|d| **d < density).count() as f64;
+        let rank = below / self.density.len() as f64;
+        let level = (self.pressure() - PRESSED) / (1.0 - PRESSED);
+        let chance: f64 = self.rng.random();
+        let inside = self.inside_share(held.customer);
+        if level > 0.0 && (!inside || late || 0.5 * (rank + chance) < level) {
+            return self.give_up(host, held);
+        }
+        if inside && let Some(times) = self.within.get_mut(held.customer) {
+            times.push_back(self.now);
+        }
+        Pass::On
+    }
+
+    /// Our part of a customer's share, over the longest target time, is not used up yet.
+    fn inside_share(&mut self, customer: usize) -> bool {
+        let (Some(quota), Some(times)) = (self.site.quotas.get(customer), self.within.get_mut(customer))
+        else {
+            return true;
+        };
+        let span = self.site.table_types.iter().map(|t| t.target).fold(0.0, f64::max);
+        while times.front().is_some_and(|t| *t < self.now - span) {
+            times.pop_front();
+        }
+        (times.len() as f64) < quota * span / self.site.brokers
+    }
+
+    // ---- time
+
+    fn in_time(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
+        let kind = &self.site.table_types[held.table_type];
+        let last_moment = held.ends_at - 2.0 * self.site.tick;
+        let worthless = kind.late <= 0.0 && self.now > held.target_at;
+        if self.now + 5.0 * self.site.tick < last_moment && !worthless {
+            return Pass::On;
+        }
+        let share = held.weight(|p| p.done);
+        let answers = !kind.second_step || held.second;
+        if answers && kind.least < kind.whole_at && share > 0.0 && share >= kind.least {
+            host.answer(held.id, false);
+            return Pass::End;
+        }
+        self.give_up(host, held)
+    }
+
+    /// The final answer for a scan that will not be served, at once: kept any longer it could earn
+    /// nothing, and its client would lose the time.
+    fn give_up(&mut self, host: &mut dyn Host, held: &Held) -> Pass {
+        let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
+        if replayable || held.pieces.iter().flat_map(|p| &p.shots).all(|s| never_ran(s.end)) {
+            let spread: f64 = self.rng.random_range(0.5..1.0);
+            host.throttle(held.id, spread * self.site.longest_wait);
+        } else {
+            host.abandon(held.id);
+        }
+        Pass::End
+    }
+
+    // ---- tally
+
+    fn tally(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
+        if held.step().is_empty() {
+            return Pass::Keep;
+        }
+        let kind = &self.site.table_types[held.table_type];
+        let need = if held.second { 1.0 } else { kind.whole_at } - 1e-6;
+        if held.weight(|p| p.done) >= need {
+            host.answer(held.id, true);
+            if !kind.second_step || held.second {
+                return Pass::End;
+            }
+            held.step_from = held.pieces.len();
+            return Pass::Keep;
+        }
+        let least = if kind.least < kind.whole_at { kind.least - 1e-6 } else { need };
+        if held.weight(|p| p.done || p.out().next().is_some() || self.may_go(held, p)) < least {
+            return self.give_up(host, held);
+        }
+        Pass::On
+    }
+
+    /// Another dispatch of this part breaks no rule of its table type.
+    fn may_go(&self, held: &Held, piece: &Piece) -> bool {
+        let ran = |s: &&Shot| !never_ran(s.end);
+        !piece.done
+            && piece.shots.len() < self.site.dispatch_cap
+            && match self.site.table_types[held.table_type].repeat {
+                Repeat::Replayable => true,
+                // A tick's margin, as the order is carried out by a clock that is not ours.
+                Repeat::Keyed(window) => {
+                    piece.shots.iter().find(ran).is_none_or(|s| self.now - s.at < window - self.site.tick)
+                }
+                Repeat::NonReplayable => !piece.shots.iter().any(|s| ran(&s)),
+            }
+    }
+
+    // ---- fork
+
+    fn fork(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
+        for part in held.step_from..held.pieces.len() {
+            if held.pieces[part].shots.is_empty()
+                && let Some(node) = self.place(held, part, true)
+            {
+                self.dispatch(host, held, part, node);
+            }
+        }
+        Pass::On
+    }
+
+    fn dispatch(&mut self, host: &mut dyn Host, held: &mut Held, part: usize, node: NodeId) {
+        host.dispatch(held.id, part, node);
+        let shots = &mut held.pieces[part].shots;
+        shots.push(Shot { node, at: self.now, end: None });
+        if let Some(n) = &mut self.nodes[node] {
+            n.outs.push(Out { scan: held.id, part, shot: shots.len() - 1, at: self.now });
+            if n.warmth(&self.site, self.now) < 1.0 {
+                n.sent_cold.push_back(self.now);
+            }
+        }
+    }
+
+    /// The lightest of two sampled holders, among the best sort of holders there is.
+    fn place(&mut self, held: &Held, part: usize, last_resort: bool) -> Option<NodeId> {
+        let piece = &held.pieces[part];
+        let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
+        let waited = self.now - held.born > 0.25 * (held.target_at - held.born);
+        let mut fit = Vec::new();
+        let mut slow = Vec::new();
+        let mut barren = Vec::new();
+        for (id, node) in self.nodes.iter().enumerate() {
+            let Some(node) = node else { continue };
+            let cells = self.site.cells;
+            let holds = (node.cell + cells - piece.seg % cells) % cells < self.site.holders;
+            if !holds
+                || node.standing != Standing::Active
+                || piece.shots.iter().any(|s| s.node == id && (s.end.is_none() || s.end != Some(End::Full)))
+                || !self.has_cold_room(node)
+            {
+                continue;
+            }
+            match &node.aside {
+                None if replayable || node.silent(self.now) < self.nearly_all => fit.push(id),
+                None => slow.push(id),
+                Some(aside) if replayable && self.trial(node, aside) => fit.push(id),
+                Some(aside) if !aside.barren => slow.push(id),
+                Some(_) => barren.push(id),
+            }
+        }
+        let mut among = fit;
+        if among.is_empty() && last_resort {
+            // What cannot be asked again waits a little for a node that is known to work.
+            among = if slow.is_empty() { barren } else { slow };
+            if !replayable && !waited {
+                return None;
+            }
+        }
+        let load = |id: NodeId| {
+            self.nodes[id].as_ref().map_or(0.0, |n| (n.outstanding() + 1.0) / n.warmth(&self.site, self.now))
+        };
+        match among.len() {
+            0 => None,
+            1 => Some(among[0]),
+            n => {
+                let first = self.rng.random_range(0..n);
+                let second = (first + self.rng.random_range(1..n)) % n;
+                let (a, b) = (among[first], among[second]);
+                Some(if load(b) < load(a) { b } else { a })
+            }
+        }
+    }
+
+    /// Our part of what a cold node can take is not used up: a budget over the stated span, reckoned as if
+    /// it had a single core and each part took what parts usually take, waiting included.
+    fn has_cold_room(&self, node: &Node) -> bool {
+        let warmth = node.warmth(&self.site, self.now);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let cold = &self.site.cold;
+        let room = cold.multiple * warmth * cold.span / (self.median * self.site.brokers);
+        let span = cold.span / room.min(1.0);
+        let sent = node.sent_cold.iter().filter(|t| **t > self.now - span).count();
+        sent as f64 + 1.0 <= room.max(1.0)
+    }
+
+    // ---- further dispatches
+
+    /// Retries of what has failed, and second copies of what will not come in time.
+    fn further(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
+        let kind = &self.site.table_types[held.table_type];
+        let need = if held.second { 1.0 } else { kind.whole_at } - 1e-6;
+        let overdue = 1.25 * self.nearly_all;
+        let replayable = kind.repeat == Repeat::Replayable;
+        let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| !b.hopeless(s, overdue));
+        let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
+        for part in held.step_from..held.pieces.len() {
+            let piece = &held.pieces[part];
+            let out = piece.out().count();
+            let due =
+                if out == 0 { !piece.shots.is_empty() } else { out == 1 && copies && !well(self, piece) };
+            if !due || !self.may_go(held, piece) || !self.in_budget() {
+                continue;
+            }
+            if out == 1 && self.pressure() > PRESSED && !piece.out().any(|s| self.barren(s.node)) {
+                continue;
+            }
+            if let Some(node) = self.place(held, part, out == 0) {
+                self.again.push_back(self.now);
+                self.dispatch(host, held, part, node);
+            }
+        }
+        Pass::Keep
+    }
+
+    fn barren(&self, node: NodeId) -> bool {
+        self.nodes[node].as_ref().and_then(|n| n.aside.as_ref()).is_some_and(|a| a.barren)
+    }
+
+    fn hopeless(&self, shot: &Shot, overdue: f64) -> bool {
+        self.now - shot.at > overdue || self.barren(shot.node)
+    }
+
+    fn in_budget(&mut self) -> bool {
+        let Some(budget) = &self.site.budget else { return true };
+        while self.again.front().is_some_and(|t| *t < self.now - budget.window - self.site.tick) {
+            self.again.pop_front();
+        }
+        while self.taken.front().is_some_and(|t| t.0 < self.now - budget.window + self.site.tick) {
+            self.taken.pop_front();
+        }
+        let taken: f64 = self.taken.iter().map(|t| t.1).sum();
+        self.again.len() as f64 + 1.0 <= budget.free + budget.share * taken
+    }
+
+    // ---- health
+
+    /// What dispatches take, from the fleet's last samples; before there are any, a small part of the
+    /// shortest target time.
+    fn measure(&mut self) {
+        let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
+        let usual = |q: f64| match self.fleet.len() < NODE_SAMPLES {
+            true => 0.4 * q * shortest,
+            false => quantile(self.fleet.iter().copied(), q).unwrap_or_default(),
+        };
+        (self.median, self.nearly_all) = (usual(0.5), usual(0.95));
+    }
+
+    fn trial(&self, node: &Node, aside: &Aside) -> bool {
+        self.now >= aside.again && node.outs.iter().filter(|o| o.at >= aside.again).count() < aside.room
+    }
+
+    fn health(&mut self, host: &mut dyn Host, ended: &Ended) {
+        let (median, nearly_all) = (self.median, self.nearly_all);
+        let rest = REST * nearly_all;
+        let Some(node) = self.nodes.get_mut(ended.node).and_then(Option::as_mut) else { return };
+        node.outs.retain(|o| (o.scan, o.part, o.shot) != (ended.scan, ended.part, ended.shot));
+        let fault = match ended.end {
+            End::Completed => false,
+            End::Error | End::NoConnection | End::Dropped => true,
+            // Withdrawn early it tells nothing; withdrawn late, that nothing came for so long.
+            End::Cancelled | End::TimedOut => {
+                node.ghosts.push(self.now - ended.took + median.max(ended.took + self.site.tick));
+                if ended.took < nearly_all {
+                    return;
+                }
+                false
+            }
+            End::Full | End::NotSent => return,
+        };
+        if matches!(ended.end, End::Completed | End::Error) {
+            node.heard = self.now;
+        }
+        let took = ended.took * node.warmth(&self.site, self.now);
+        if ended.end == End::Completed {
+            keep_last(&mut self.fleet, took, FLEET_SAMPLES);
+        }
+        keep_last(&mut node.samples, Sample { took, fault }, NODE_SAMPLES);
+        if let Some(aside) = &mut node.aside {
+            if ended.end == End::Completed && took <= SLOW * median {
+                aside.room *= 2;
+                if aside.room > TRICKLE_END {
+                    node.aside = None;
+                    node.samples.clear();
+                    host.log(&format!("node {} is back in service", ended.node));
+                }
+            } else if self.now - ended.took >= aside.again {
+                aside.room = 1;
+                aside.again = self.now + rest;
+            }
+        }
+        if ended.end == End::NoConnection || ended.end == End::Dropped {
+            self.set_aside(host, ended.node, true, "its connections fail");
+        }
+        self.measure();
+        self.judge(host, ended.node);
+    }
+
+    fn set_aside(&mut self, host: &mut dyn Host, id: NodeId, barren: bool, why: &str) {
+        let rest = REST * self.nearly_all;
+        if let Some(node) = &mut self.nodes[id]
+            && node.aside.is_none()
+        {
+            node.aside = Some(Aside { barren, again: self.now + rest, room: 1 });
+            host.log(&format!("node {id} is set aside: {why}"));
+        }
+    }
+
+    /// Sets a node aside by its symptoms.
+    fn judge(&mut self, host: &mut dyn Host, id: NodeId) {
+        let (median, silence) = (self.median, SILENT * self.nearly_all);
+        let rest = REST * self.nearly_all;
+        let now = self.now;
+        let Some(node) = self.nodes[id].as_mut() else { return };
+        node.ghosts.retain(|until| *until > now);
+        node.sent_cold.retain(|t| *t > now - self.site.cold.warm_after);
+        if let Some(aside) = &mut node.aside {
+            if node.outs.iter().any(|o| o.at >= aside.again && now - o.at > silence) {
+                aside.room = 1;
+                aside.again = now + rest;
+            }
+            return;
+        }
+        let silent = node.silent(now) * node.warmth(&self.site, now) > silence;
+        let faults = node.samples.iter().filter(|s| s.fault).count() >= FAULTS;
+        let usual = quantile(node.samples.iter().map(|s| s.took), 0.5);
+        let slow = node.samples.len() >= NODE_SAMPLES / 2 && usual.is_some_and(|u| u > SLOW * median);
+        if silent {
+            self.set_aside(host, id, true, "it is silent");
+        } else if faults {
+            self.set_aside(host, id, true, "it fails what it is given");
+        } else if slow {
+            let active = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active);
+            let (all, apart) = active.fold((0.0, 0.0), |(all, apart), n| {
+                (all + 1.0, apart + if n.aside.as_ref().is_some_and(|a| !a.barren) { 1.0 } else { 0.0 })
+            });
+            if apart + 1.0 <= SLOW_SHARE * all {
+                self.set_aside(host, id, false, "it is slow beside its peers");
+            }
+        }
+    }
+
+    fn returned(&mut self, host: &mut dyn Host, ended: &Ended) {
+        let Some(held) = self.scans.get_mut(&ended.scan) else { return };
+        let piece = &mut held.pieces[ended.part];
+        if let Some(shot) = piece.shots.get_mut(ended.shot) {
+            shot.end = Some(ended.end);
+        }
+        if ended.end == End::Completed && !piece.done {
+            piece.done = true;
+            if self.site.may_cancel {
+                for (shot, _) in piece.shots.iter().enumerate().filter(|(_, s)| s.end.is_none()) {
+                    host.cancel(ended.scan, ended.part, shot);
+                }
+            }
+        }
+        self.pass(host, ended.scan);
+    }
+}
--- /dev/null
+++ b/crates/dunepond-decide/src/lib.rs
@@ -0,0 +1,171 @@
+//! What passes between dunepond's decisions and whatever carries them: plain types, and the
+//! [`Host`] that the decisions call. Nothing here decides, and nothing here knows a transport.
+//!
+//! A host makes one [`Broker`] for each broker it carries and calls its methods as things happen;
+//! within each call the broker calls back through [`Host`]. Times are seconds on the host's own
+//! clock; ids are small indices that the host hands out.
+
+mod decide;
+
+pub use decide::Broker;
+
+/// A node, by the index the host gave its address; the same index for the life of the broker.
+pub type NodeId = usize;
+/// A scan, by a number that the host never uses twice for one broker.
+pub type ScanId = u64;
+
+/// What the module can have done. Orders are carried out in the sequence they are given.
+pub trait Host {
+    /// The clock; it stands still during a call.
+    fn now(&self) -> f64;
+    /// Sends a part to a node. A part's dispatches count from 0 in the order of these calls.
+    fn dispatch(&mut self, scan: ScanId, part: usize, node: NodeId);
+    /// Stops waiting for one dispatch; its end is still reported.
+    fn cancel(&mut self, scan: ScanId, part: usize, shot: usize);
+    /// Answers from the parts that are in; for a scan with a second step, the first call asks for
+    /// that step's parts.
+    fn answer(&mut self, scan: ScanId, whole: bool);
+    /// Turns the scan away: trying again is harmless, after `wait` seconds if that is above 0.
+    fn throttle(&mut self, scan: ScanId, wait: f64);
+    /// Gives the scan up, with no promise about what ran.
+    fn abandon(&mut self, scan: ScanId);
+    /// The scan is over for the module: no further order will name it, save a cancel of what is out.
+    fn forget(&mut self, scan: ScanId);
+    /// Asks for one [`Broker::wake`] at or soon after a time.
+    fn wake_at(&mut self, at: f64);
+    /// A plain line for whoever is on call.
+    fn log(&mut self, line: &str);
+}
+
+/// May a part run again?
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Replayable,
+    /// A repeat is dropped for this long after the first dispatch that may have run.
+    Keyed(f64),
+    NonReplayable,
+}
+
+#[derive(Clone, Debug)]
+pub struct TableType {
+    pub target: f64,
+    pub timeout: f64,
+    pub benefit: f64,
+    /// Share of the benefit still earned after the target time.
+    pub late: f64,
+    pub repeat: Repeat,
+    /// Share of the first step's weight that makes a whole answer.
+    pub whole_at: f64,
+    /// Least share for any answer.
+    pub least: f64,
+    /// What an answer short of whole earns, before its share is counted.
+    pub partial: f64,
+    pub second_step: bool,
+}
+
+/// Further dispatches allowed in any `window`: `free`, plus `share` of the scans and parts taken.
+#[derive(Clone, Debug)]
+pub struct FurtherBudget {
+    pub window: f64,
+    pub free: f64,
+    pub share: f64,
+}
+
+/// How a node that has just started must be spared.
+#[derive(Clone, Debug)]
+pub struct ColdRule {
+    /// Share of its capacity that a node has at its start, at least.
+    pub from: f64,
+    /// When it is warm at the latest.
+    pub warm_after: f64,
+    /// Multiple of its capacity at that moment, and the span that it is counted over.
+    pub multiple: f64,
+    pub span: f64,
+}
+
+/// What a deployment states about itself, as far as the module goes by it.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub seed: u64,
+    pub brokers: f64,
+    pub table_types: Vec<TableType>,
+    /// Each customer's scans a second within its share, all brokers together.
+    pub quotas: Vec<f64>,
+    /// The benefit of a scan grows with its work.
+    pub benefit_by_work: bool,
+    pub cells: usize,
+    pub holders: usize,
+    pub dispatch_cap: usize,
+    pub second_copies: bool,
+    pub may_cancel: bool,
+    /// Longest wait that a throttling reply may name; 0 where it may name none.
+    pub longest_wait: f64,
+    pub budget: Option<FurtherBudget>,
+    pub cold: ColdRule,
+    /// Least time between two calls.
+    pub tick: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    Active,
+    Draining,
+    Gone,
+}
+
+/// A line of the node list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub node: NodeId,
+    pub cell: usize,
+    pub standing: Standing,
+    /// When its process last started, on the host's clock; 0 if long ago.
+    pub started: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub seg: usize,
+    pub weight: f64,
+}
+
+/// A scan as it comes in, with the parts of its first step.
+#[derive(Clone, Debug)]
+pub struct Scan {
+    pub id: ScanId,
+    pub table_type: usize,
+    pub customer: usize,
+    /// Time left before the client gives this try up.
+    pub expires_in: f64,
+    /// Marked by its client as a further try.
+    pub resent: bool,
+    pub parts: Vec<Part>,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    Completed,
+    Error,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    NoConnection,
+    /// The connection broke while it was out.
+    Dropped,
+    Cancelled,
+    /// Never issued.
+    NotSent,
+}
+
+/// A dispatch that has ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub scan: ScanId,
+    pub part: usize,
+    pub shot: usize,
+    pub node: NodeId,
+    pub end: End,
+    /// Seconds since it was sent.
+    pub took: f64,
+}
