--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -32,8 +32,9 @@
 const REST: f64 = 3.0;
 /// A trickle this wide ends the setting aside.
 const TRICKLE_END: usize = 8;
-/// Oldest wait, as a share of the target time, from which scans are turned away; at 1 all are.
-const PRESSED: f64 = 0.45;
+/// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
+const PRESSED: f64 = 0.2;
+const CRUSHED: f64 = 0.6;
 
 enum Pass {
     On,
@@ -340,22 +341,17 @@
 
     // ---- admission
 
-    /// Share of its target time that the oldest scan has waited, leaving out those that wait only for
-    /// nodes in doubt: a dead node is no overload, and turning scans away would not revive it.
+    /// How long the oldest part has waited at a middling node, as a share of the shortest target time. The
+    /// middling node, and no node set aside: a few dead or slow ones are no overload of the fleet, and
+    /// turning scans away would not revive them.
     fn pressure(&mut self) -> f64 {
-        if self.pressed.0 == self.now {
-            return self.pressed.1;
+        if self.pressed.0 != self.now {
+            let trusted = self.nodes.iter().flatten();
+            let trusted = trusted.filter(|n| n.standing == Standing::Active && n.aside.is_none());
+            let waits = trusted.map(|n| n.outs.first().map_or(0.0, |oldest| self.now - oldest.at));
+            let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
+            self.pressed = (self.now, quantile(waits, 0.5).unwrap_or(0.0) / shortest);
         }
-        let doubtful = self.nearly_all;
-        let in_doubt = |shot: &Shot| {
-            self.nodes[shot.node].as_ref().is_some_and(|n| n.aside.is_some() || n.silent(self.now) > doubtful)
-        };
-        let waits = |h: &&Held| {
-            let mut out = h.step().iter().filter(|p| !p.done).flat_map(Piece::out).peekable();
-            out.peek().is_some() && !out.all(in_doubt)
-        };
-        let wait = |h: &Held| (self.now - h.born) / self.site.table_types[h.table_type].target;
-        self.pressed = (self.now, self.scans.values().filter(waits).map(wait).fold(0.0, f64::max));
         self.pressed.1
     }
 
@@ -375,7 +371,7 @@
         keep_last(&mut self.density, density, FLEET_SAMPLES);
         let below = self.density.iter().filter(|d| **d < density).count() as f64;
         let rank = below / self.density.len() as f64;
-        let level = (self.pressure() - PRESSED) / (1.0 - PRESSED);
+        let level = (self.pressure() - PRESSED) / (CRUSHED - PRESSED);
         let chance: f64 = self.rng.random();
         let inside = self.inside_share(held.customer);
         if level > 0.0 && (!inside || late || 0.5 * (rank + chance) < level) {
@@ -508,7 +504,7 @@
             let holds = (node.cell + cells - piece.seg % cells) % cells < self.site.holders;
             if !holds
                 || node.standing != Standing::Active
-                || piece.shots.iter().any(|s| s.node == id && (s.end.is_none() || s.end != Some(End::Full)))
+                || piece.shots.iter().any(|s| s.node == id)
                 || !self.has_cold_room(node)
             {
                 continue;
