Judge a cold node's room by what warm nodes are seen to take

Behind a release the warm nodes jammed, the median rose, the cold nodes got one part a second and idled, and the jam fed itself. What warm nodes complete for us does not shrink so, and keeps the rule however unequal the brokers are.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -27,14 +27,16 @@
 /// Faults among a node's samples that set it aside; a natural error now and then must not.
 const FAULTS: usize = 2;
 /// Share of the fleet that may be set aside for slowness: the rest must carry its load.
-const SLOW_SHARE: f64 = 0.25;
+const SLOW_SHARE: f64 = 0.0;
 /// A node set aside rests for this multiple of what nearly all dispatches take, before its first trial.
 const REST: f64 = 3.0;
+/// Samples of a node speak for it during this multiple of what nearly all dispatches take.
+const FRESH: f64 = 10.0;
 /// A trickle this wide ends the setting aside.
 const TRICKLE_END: usize = 8;
 /// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
-const PRESSED: f64 = 0.2;
-const CRUSHED: f64 = 0.6;
+const PRESSED: f64 = 0.15;
+const CRUSHED: f64 = 0.5;
 
 enum Pass {
     On,
@@ -84,6 +86,7 @@
 }
 
 struct Sample {
+    at: f64,
     took: f64,
     fault: bool,
 }
@@ -525,9 +528,6 @@
                 return None;
             }
         }
-        let load = |id: NodeId| {
-            self.nodes[id].as_ref().map_or(0.0, |n| (n.outstanding() + 1.0) / n.warmth(&self.site, self.now))
-        };
         match among.len() {
             0 => None,
             1 => Some(among[0]),
@@ -535,20 +535,39 @@
                 let first = self.rng.random_range(0..n);
                 let second = (first + self.rng.random_range(1..n)) % n;
                 let (a, b) = (among[first], among[second]);
-                Some(if load(b) < load(a) { b } else { a })
+                Some(if self.load(b) < self.load(a) { b } else { a })
             }
         }
     }
 
-    /// Our part of what a cold node can take is not used up: a budget over the stated span, reckoned as if
-    /// it had a single core and each part took what parts usually take, waiting included.
+    /// What a node holds of ours, weighed by how much longer than the fleet it took of late.
+    fn load(&self, id: NodeId) -> f64 {
+        let Some(node) = &self.nodes[id] else { return 0.0 };
+        let fresh = node.samples.iter().filter(|s| s.at > self.now - FRESH * self.nearly_all);
+        let usual = match fresh.clone().count() < NODE_SAMPLES / 2 {
+            true => self.median,
+            false => quantile(fresh.map(|s| s.took), 0.5).unwrap_or_default(),
+        };
+        (node.outstanding() + 1.0) * (usual / self.median).max(1.0) / node.warmth(&self.site, self.now)
+    }
+
+    /// Our part of what a cold node can take is not used up: a budget over any stated span. A warm node is
+    /// known to take what we see it complete for us; as that holds for every broker, all of them together
+    /// stay within the multiple however unequal they are. In quiet times that is too little to go by, and
+    /// a warm node takes at least one part after the other, whose times are shared out evenly.
     fn has_cold_room(&self, node: &Node) -> bool {
         let warmth = node.warmth(&self.site, self.now);
         if warmth >= 1.0 {
             return true;
         }
         let cold = &self.site.cold;
-        let room = cold.multiple * warmth * cold.span / (self.median * self.site.brokers);
+        let warm = self.nodes.iter().flatten().filter(|n| n.warmth(&self.site, self.now) >= 1.0);
+        let full = warm.filter(|n| n.samples.len() == NODE_SAMPLES && n.standing == Standing::Active);
+        let (rates, count) = full.fold((0.0, 0.0), |(sum, count), n| {
+            (sum + n.samples.len() as f64 / (self.now - n.samples[0].at).max(self.site.tick), count + 1.0)
+        });
+        let seen = if count > 0.0 { rates / count } else { 0.0 };
+        let room = cold.multiple * warmth * cold.span * seen.max(1.0 / (self.median * self.site.brokers));
         let span = cold.span / room.min(1.0);
         let sent = node.sent_cold.iter().filter(|t| **t > self.now - span).count();
         sent as f64 + 1.0 <= room.max(1.0)
@@ -636,7 +655,13 @@
                 }
                 false
             }
-            End::Full | End::NotSent => return,
+            // It answers at once and so looks idle: what it turned away weighs on as if it waited there.
+            End::Full => {
+                node.ghosts.push(self.now + nearly_all);
+                node.heard = self.now;
+                return;
+            }
+            End::NotSent => return,
         };
         if matches!(ended.end, End::Completed | End::Error) {
             node.heard = self.now;
@@ -645,7 +670,7 @@
         if ended.end == End::Completed {
             keep_last(&mut self.fleet, took, FLEET_SAMPLES);
         }
-        keep_last(&mut node.samples, Sample { took, fault }, NODE_SAMPLES);
+        keep_last(&mut node.samples, Sample { at: self.now, took, fault }, NODE_SAMPLES);
         if let Some(aside) = &mut node.aside {
             if ended.end == End::Completed && took <= SLOW * median {
                 aside.room *= 2;
