--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -35,8 +35,8 @@
 /// A trickle this wide ends the setting aside.
 const TRICKLE_END: usize = 8;
 /// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
-const PRESSED: f64 = 0.15;
-const CRUSHED: f64 = 0.5;
+const PRESSED: f64 = 0.25;
+const CRUSHED: f64 = 0.65;
 
 enum Pass {
     On,
@@ -128,11 +128,10 @@
     taken: VecDeque<(f64, f64)>,
     again: VecDeque<f64>,
     armed: bool,
-    /// What dispatches take at the median and nearly all of them, and the pressure with its instant: each
-    /// worked out once for all that ask, since a burst asks thousands of times in one call.
+    /// What dispatches take at the median and nearly all of them: worked out once for all that ask, since
+    /// a burst asks thousands of times in one call.
     median: f64,
     nearly_all: f64,
-    pressed: (f64, f64),
 }
 
 fn never_ran(end: Option<End>) -> bool {
@@ -201,7 +200,6 @@
             armed: false,
             median: 0.0,
             nearly_all: 0.0,
-            pressed: (f64::MIN, 0.0),
             site,
         };
         broker.measure();
@@ -344,18 +342,32 @@
 
     // ---- admission
 
-    /// How long the oldest part has waited at a middling node, as a share of the shortest target time. The
-    /// middling node, and no node set aside: a few dead or slow ones are no overload of the fleet, and
-    /// turning scans away would not revive them.
-    fn pressure(&mut self) -> f64 {
-        if self.pressed.0 != self.now {
-            let trusted = self.nodes.iter().flatten();
-            let trusted = trusted.filter(|n| n.standing == Standing::Active && n.aside.is_none());
-            let waits = trusted.map(|n| n.outs.first().map_or(0.0, |oldest| self.now - oldest.at));
-            let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
-            self.pressed = (self.now, quantile(waits, 0.5).unwrap_or(0.0) / shortest);
-        }
-        self.pressed.1
+    /// How long the oldest part has waited at the best holder of a segment. Nodes that give nothing are no
+    /// overload: turning scans away would not revive them.
+    fn wait_for(&self, seg: usize) -> f64 {
+        let holders = self.nodes.iter().flatten().filter(|n| self.holds(n, seg));
+        let trusted = holders.filter(|n| n.aside.as_ref().is_none_or(|a| !a.barren) && self.has_cold_room(n));
+        let waits = trusted.map(|n| n.outs.first().map_or(0.0, |oldest| self.now - oldest.at));
+        waits.min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
+    /// The wait ahead of a scan, as a share of its target time: of as many of its parts as it needs. Blocks
+    /// differ in how much they are asked for, so that some holders may drown while the fleet is at ease.
+    fn pressure(&self, held: &Held) -> f64 {
+        let kind = &self.site.table_types[held.table_type];
+        let mut waits: Vec<_> = held.step().iter().map(|p| (self.wait_for(p.seg), p.weight)).collect();
+        waits.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut weight = 0.0;
+        let enough = waits.iter().find(|w| {
+            weight += w.1;
+            weight >= kind.whole_at - 1e-6
+        });
+        enough.map_or(0.0, |w| w.0 / kind.target)
+    }
+
+    fn holds(&self, node: &Node, seg: usize) -> bool {
+        let cells = self.site.cells;
+        node.standing == Standing::Active && (node.cell + cells - seg % cells) % cells < self.site.holders
     }
 
     /// Under overload the least benefit goes first: beyond a customer's share, then late, then dear.
@@ -374,7 +386,7 @@
         keep_last(&mut self.density, density, FLEET_SAMPLES);
         let below = self.density.iter().filter(|d| **d < density).count() as f64;
         let rank = below / self.density.len() as f64;
-        let level = (self.pressure() - PRESSED) / (CRUSHED - PRESSED);
+        let level = (self.pressure(held) - PRESSED) / (CRUSHED - PRESSED);
         let chance: f64 = self.rng.random();
         let inside = self.inside_share(held.customer);
         if level > 0.0 && (!inside || late || 0.5 * (rank + chance) < level) {
@@ -503,10 +515,7 @@
         let mut barren = Vec::new();
         for (id, node) in self.nodes.iter().enumerate() {
             let Some(node) = node else { continue };
-            let cells = self.site.cells;
-            let holds = (node.cell + cells - piece.seg % cells) % cells < self.site.holders;
-            if !holds
-                || node.standing != Standing::Active
+            if !self.holds(node, piece.seg)
                 || piece.shots.iter().any(|s| s.node == id)
                 || !self.has_cold_room(node)
             {
@@ -579,6 +588,7 @@
     fn further(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
         let kind = &self.site.table_types[held.table_type];
         let need = if held.second { 1.0 } else { kind.whole_at } - 1e-6;
+        let target = kind.target;
         let overdue = 1.25 * self.nearly_all;
         let replayable = kind.repeat == Repeat::Replayable;
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| !b.hopeless(s, overdue));
@@ -591,7 +601,10 @@
             if !due || !self.may_go(held, piece) || !self.in_budget() {
                 continue;
             }
-            if out == 1 && self.pressure() > PRESSED && !piece.out().any(|s| self.barren(s.node)) {
+            if out == 1
+                && self.wait_for(piece.seg) > PRESSED * target
+                && !piece.out().any(|s| self.barren(s.node))
+            {
                 continue;
             }
             if let Some(node) = self.place(held, part, out == 0) {
