--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -589,7 +589,7 @@
         let kind = &self.site.table_types[held.table_type];
         let need = if held.second { 1.0 } else { kind.whole_at } - 1e-6;
         let target = kind.target;
-        let overdue = 1.25 * self.nearly_all;
+        let overdue = (1.25 * self.nearly_all).max(0.4 * target);
         let replayable = kind.repeat == Repeat::Replayable;
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| !b.hopeless(s, overdue));
         let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
