Turn away what its client will not wait for; count the wait of a second step

A try that ends before parts usually come is turned away at arrival. It also covers clients with little time left after earlier tries; it could harm when all parts are slow for a moment, where the wait ahead would have turned the scan away too. What a try has used up is now told by the customer's own first tries.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -37,6 +37,8 @@
 /// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
 const PRESSED: f64 = 0.25;
 const CRUSHED: f64 = 0.65;
+/// A second step waits again, mostly for lighter parts.
+const TWO_STEPS: f64 = 1.5;
 
 enum Pass {
     On,
@@ -104,6 +106,8 @@
     standing: Standing,
     started: f64,
     heard: f64,
+    /// When it last turned a part away as full.
+    refused: f64,
     outs: Vec<Out>,
     /// When the node should be through with dispatches that we no longer wait for.
     ghosts: Vec<f64>,
@@ -123,7 +127,7 @@
     density: VecDeque<f64>,
     /// Scans taken within its share, by customer.
     within: Vec<VecDeque<f64>>,
-    /// For each table type, the longest time that a client's first try was given.
+    /// What the last first try was given, by customer and table type.
     full_try: Vec<f64>,
     taken: VecDeque<(f64, f64)>,
     again: VecDeque<f64>,
@@ -194,7 +198,7 @@
             fleet: VecDeque::new(),
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
-            full_try: site.table_types.iter().map(|_| 0.0).collect(),
+            full_try: vec![0.0; site.table_types.len() * site.quotas.len().max(1)],
             taken: VecDeque::new(),
             again: VecDeque::new(),
             armed: false,
@@ -222,6 +226,7 @@
                 standing: row.standing,
                 started: row.started,
                 heard: f64::MIN,
+                refused: f64::MIN,
                 outs: Vec::new(),
                 ghosts: Vec::new(),
                 samples: VecDeque::new(),
@@ -244,12 +249,14 @@
         self.now = host.now();
         self.taken.push_back((self.now, 1.0 + scan.parts.len() as f64));
         let kind = &self.site.table_types[scan.table_type];
-        // A further try has used up part of its client's time; how much shows only once it is given less
-        // than a first try.
-        let full = &mut self.full_try[scan.table_type];
-        let spent =
-            if !scan.resent || scan.expires_in >= *full { 0.0 } else { kind.timeout - scan.expires_in };
-        *full = full.max(scan.expires_in);
+        // A further try has used up part of its client's time. How much shows only once it is given less
+        // than that customer's first tries, which some clients keep short.
+        let full = &mut self.full_try[scan.table_type + scan.customer * self.site.table_types.len()];
+        if !scan.resent {
+            *full = scan.expires_in;
+        }
+        let cut = scan.resent && scan.expires_in < *full - self.site.tick;
+        let spent = if cut { kind.timeout - scan.expires_in } else { 0.0 };
         let held = Held {
             id: scan.id,
             table_type: scan.table_type,
@@ -347,13 +354,17 @@
     fn wait_for(&self, seg: usize) -> f64 {
         let holders = self.nodes.iter().flatten().filter(|n| self.holds(n, seg));
         let trusted = holders.filter(|n| n.aside.as_ref().is_none_or(|a| !a.barren) && self.has_cold_room(n));
-        let waits = trusted.map(|n| n.outs.first().map_or(0.0, |oldest| self.now - oldest.at));
+        let waits = trusted.map(|n| match n.outs.first() {
+            _ if self.full(n) => f64::MAX,
+            None => 0.0,
+            Some(oldest) => self.now - oldest.at,
+        });
         waits.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    /// The wait ahead of a scan, as a share of its target time: of as many of its parts as it needs. Blocks
-    /// differ in how much they are asked for, so that some holders may drown while the fleet is at ease.
-    fn pressure(&self, held: &Held) -> f64 {
+    /// The wait ahead of a scan: of as many of its parts as it needs. Blocks differ in how much they are
+    /// asked for, so that some holders may drown while the fleet is at ease.
+    fn wait_ahead(&self, held: &Held) -> f64 {
         let kind = &self.site.table_types[held.table_type];
         let mut waits: Vec<_> = held.step().iter().map(|p| (self.wait_for(p.seg), p.weight)).collect();
         waits.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -362,7 +373,12 @@
             weight += w.1;
             weight >= kind.whole_at - 1e-6
         });
-        enough.map_or(0.0, |w| w.0 / kind.target)
+        enough.map_or(0.0, |w| w.0)
+    }
+
+    /// It turned a part away so lately that it can hardly have worked off what it holds.
+    fn full(&self, node: &Node) -> bool {
+        self.now - node.refused < self.median
     }
 
     fn holds(&self, node: &Node, seg: usize) -> bool {
@@ -377,16 +393,22 @@
         }
         held.admitted = true;
         let kind = &self.site.table_types[held.table_type];
-        let late = self.now + self.median > held.target_at;
-        if late && kind.late <= 0.0 {
+        let likely = self.now + 0.5 * (self.median + self.nearly_all);
+        let late = likely > held.target_at;
+        // Its client will not wait for what it asks, or not for anything of worth: sent all the same it would
+        // only take the nodes from the others, once for each of the many tries of such a client.
+        if likely > held.ends_at || late && kind.late <= 0.0 {
             return self.give_up(host, held);
         }
+        let useful = if late { kind.target } else { held.target_at - self.now };
+        let horizon = useful.min(held.ends_at - self.now);
         let work = if self.site.benefit_by_work { 1.0 } else { held.pieces.len() as f64 * kind.whole_at };
         let density = kind.benefit * if late { kind.late } else { 1.0 } / work;
         keep_last(&mut self.density, density, FLEET_SAMPLES);
         let below = self.density.iter().filter(|d| **d < density).count() as f64;
         let rank = below / self.density.len() as f64;
-        let level = (self.pressure(held) - PRESSED) / (CRUSHED - PRESSED);
+        let steps = if kind.second_step { TWO_STEPS } else { 1.0 };
+        let level = (steps * self.wait_ahead(held) / horizon - PRESSED) / (CRUSHED - PRESSED);
         let chance: f64 = self.rng.random();
         let inside = self.inside_share(held.customer);
         if level > 0.0 && (!inside || late || 0.5 * (rank + chance) < level) {
@@ -518,6 +540,7 @@
             if !self.holds(node, piece.seg)
                 || piece.shots.iter().any(|s| s.node == id)
                 || !self.has_cold_room(node)
+                || self.full(node)
             {
                 continue;
             }
@@ -668,9 +691,9 @@
                 }
                 false
             }
-            // It answers at once and so looks idle: what it turned away weighs on as if it waited there.
+            // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
             End::Full => {
-                node.ghosts.push(self.now + nearly_all);
+                node.refused = self.now;
                 node.heard = self.now;
                 return;
             }
