--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -20,14 +20,12 @@
 /// Samples kept of the whole fleet, and of one node.
 const FLEET_SAMPLES: usize = 64;
 const NODE_SAMPLES: usize = 8;
-/// A node is slow when its usual time is this multiple of the fleet's.
+/// A trial goes well if it takes no longer than this multiple of what dispatches usually take.
 const SLOW: f64 = 2.5;
 /// A node is silent after this multiple of what nearly all dispatches take.
 const SILENT: f64 = 1.5;
 /// Faults among a node's samples that set it aside; a natural error now and then must not.
 const FAULTS: usize = 2;
-/// Share of the fleet that may be set aside for slowness: the rest must carry its load.
-const SLOW_SHARE: f64 = 0.0;
 /// A node set aside rests for this multiple of what nearly all dispatches take, before its first trial.
 const REST: f64 = 3.0;
 /// Samples of a node speak for it during this multiple of what nearly all dispatches take.
@@ -90,13 +88,11 @@
 struct Sample {
     at: f64,
     took: f64,
-    fault: bool,
+    end: End,
 }
 
-/// A node that new work keeps away from, but for a trickle.
+/// A node that gave nothing, or faults, and that new work keeps away from, but for a trickle.
 struct Aside {
-    /// It gave nothing, or faults; otherwise it is only slow.
-    barren: bool,
     again: f64,
     room: usize,
 }
@@ -138,6 +134,10 @@
     nearly_all: f64,
 }
 
+fn fault(end: End) -> bool {
+    matches!(end, End::Error | End::NoConnection | End::Dropped)
+}
+
 fn never_ran(end: Option<End>) -> bool {
     matches!(end, Some(End::Full | End::NoConnection | End::NotSent))
 }
@@ -353,7 +353,7 @@
     /// overload: turning scans away would not revive them.
     fn wait_for(&self, seg: usize) -> f64 {
         let holders = self.nodes.iter().flatten().filter(|n| self.holds(n, seg));
-        let trusted = holders.filter(|n| n.aside.as_ref().is_none_or(|a| !a.barren) && self.has_cold_room(n));
+        let trusted = holders.filter(|n| n.aside.is_none() && self.has_cold_room(n));
         let waits = trusted.map(|n| match n.outs.first() {
             _ if self.full(n) => f64::MAX,
             None => 0.0,
@@ -541,8 +541,7 @@
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
         let waited = self.now - held.born > 0.25 * (held.target_at - held.born);
         let mut fit = Vec::new();
-        let mut slow = Vec::new();
-        let mut barren = Vec::new();
+        let mut doubtful = Vec::new();
         for (id, node) in self.nodes.iter().enumerate() {
             let Some(node) = node else { continue };
             if !self.holds(node, piece.seg)
@@ -552,18 +551,16 @@
             {
                 continue;
             }
-            match &node.aside {
-                None if replayable || node.silent(self.now) < self.nearly_all => fit.push(id),
-                None => slow.push(id),
-                Some(aside) if replayable && self.trial(node, aside) => fit.push(id),
-                Some(aside) if !aside.barren => slow.push(id),
-                Some(_) => barren.push(id),
-            }
+            let sound = match &node.aside {
+                None => replayable || node.silent(self.now) < self.nearly_all,
+                Some(aside) => replayable && self.trial(node, aside),
+            };
+            if sound { fit.push(id) } else { doubtful.push(id) }
         }
         let mut among = fit;
         if among.is_empty() && last_resort {
             // What cannot be asked again waits a little for a node that is known to work.
-            among = if slow.is_empty() { barren } else { slow };
+            among = doubtful;
             if !replayable && !waited {
                 return None;
             }
@@ -604,7 +601,8 @@
         let warm = self.nodes.iter().flatten().filter(|n| n.warmth(&self.site, self.now) >= 1.0);
         let full = warm.filter(|n| n.samples.len() == NODE_SAMPLES && n.standing == Standing::Active);
         let (rates, count) = full.fold((0.0, 0.0), |(sum, count), n| {
-            (sum + n.samples.len() as f64 / (self.now - n.samples[0].at).max(self.site.tick), count + 1.0)
+            let completed = n.samples.iter().filter(|s| s.end == End::Completed).count() as f64;
+            (sum + completed / (self.now - n.samples[0].at).max(self.site.tick), count + 1.0)
         });
         let seen = if count > 0.0 { rates / count } else { 0.0 };
         let room = cold.multiple * warmth * cold.span * seen.max(1.0 / (self.median * self.site.brokers));
@@ -634,7 +632,7 @@
             }
             if out == 1
                 && self.wait_for(piece.seg) > PRESSED * target
-                && !piece.out().any(|s| self.barren(s.node))
+                && !piece.out().any(|s| self.aside(s.node))
             {
                 continue;
             }
@@ -646,12 +644,12 @@
         Pass::Keep
     }
 
-    fn barren(&self, node: NodeId) -> bool {
-        self.nodes[node].as_ref().and_then(|n| n.aside.as_ref()).is_some_and(|a| a.barren)
+    fn aside(&self, node: NodeId) -> bool {
+        self.nodes[node].as_ref().is_some_and(|n| n.aside.is_some())
     }
 
     fn hopeless(&self, shot: &Shot, overdue: f64) -> bool {
-        self.now - shot.at > overdue || self.barren(shot.node)
+        self.now - shot.at > overdue || self.aside(shot.node)
     }
 
     fn in_budget(&mut self) -> bool {
@@ -688,16 +686,13 @@
         let rest = REST * nearly_all;
         let Some(node) = self.nodes.get_mut(ended.node).and_then(Option::as_mut) else { return };
         node.outs.retain(|o| (o.scan, o.part, o.shot) != (ended.scan, ended.part, ended.shot));
-        let fault = match ended.end {
-            End::Completed => false,
-            End::Error | End::NoConnection | End::Dropped => true,
+        match ended.end {
             // Withdrawn early it tells nothing; withdrawn late, that nothing came for so long.
             End::Cancelled | End::TimedOut => {
-                node.ghosts.push(self.now - ended.took + median.max(ended.took + self.site.tick));
+                node.ghosts.push(self.now - ended.took + median);
                 if ended.took < nearly_all {
                     return;
                 }
-                false
             }
             // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
             End::Full => {
@@ -706,7 +701,8 @@
                 return;
             }
             End::NotSent => return,
-        };
+            End::Completed | End::Error | End::NoConnection | End::Dropped => {}
+        }
         if matches!(ended.end, End::Completed | End::Error) {
             node.heard = self.now;
         }
@@ -717,7 +713,7 @@
         if ended.end == End::Completed && warmth >= 1.0 {
             keep_last(&mut self.fleet, took, FLEET_SAMPLES);
         }
-        keep_last(&mut node.samples, Sample { at: self.now, took, fault }, NODE_SAMPLES);
+        keep_last(&mut node.samples, Sample { at: self.now, took, end: ended.end }, NODE_SAMPLES);
         if let Some(aside) = &mut node.aside {
             if ended.end == End::Completed && took <= SLOW * median {
                 aside.room *= 2;
@@ -732,25 +728,25 @@
             }
         }
         if ended.end == End::NoConnection || ended.end == End::Dropped {
-            self.set_aside(host, ended.node, true, "its connections fail");
+            self.set_aside(host, ended.node, "its connections fail");
         }
         self.measure();
         self.judge(host, ended.node);
     }
 
-    fn set_aside(&mut self, host: &mut dyn Host, id: NodeId, barren: bool, why: &str) {
+    fn set_aside(&mut self, host: &mut dyn Host, id: NodeId, why: &str) {
         let rest = REST * self.nearly_all;
         if let Some(node) = &mut self.nodes[id]
             && node.aside.is_none()
         {
-            node.aside = Some(Aside { barren, again: self.now + rest, room: 1 });
+            node.aside = Some(Aside { again: self.now + rest, room: 1 });
             host.log(&format!("node {id} is set aside: {why}"));
         }
     }
 
     /// Sets a node aside by its symptoms.
     fn judge(&mut self, host: &mut dyn Host, id: NodeId) {
-        let (median, silence) = (self.median, SILENT * self.nearly_all);
+        let silence = SILENT * self.nearly_all;
         let rest = REST * self.nearly_all;
         let now = self.now;
         let Some(node) = self.nodes[id].as_mut() else { return };
@@ -764,21 +760,11 @@
             return;
         }
         let silent = node.silent(now) * node.warmth(&self.site, now) > silence;
-        let faults = node.samples.iter().filter(|s| s.fault).count() >= FAULTS;
-        let usual = quantile(node.samples.iter().map(|s| s.took), 0.5);
-        let slow = node.samples.len() >= NODE_SAMPLES / 2 && usual.is_some_and(|u| u > SLOW * median);
+        let faults = node.samples.iter().filter(|s| fault(s.end)).count() >= FAULTS;
         if silent {
-            self.set_aside(host, id, true, "it is silent");
+            self.set_aside(host, id, "it is silent");
         } else if faults {
-            self.set_aside(host, id, true, "it fails what it is given");
-        } else if slow {
-            let active = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active);
-            let (all, apart) = active.fold((0.0, 0.0), |(all, apart), n| {
-                (all + 1.0, apart + if n.aside.as_ref().is_some_and(|a| !a.barren) { 1.0 } else { 0.0 })
-            });
-            if apart + 1.0 <= SLOW_SHARE * all {
-                self.set_aside(host, id, false, "it is slow beside its peers");
-            }
+            self.set_aside(host, id, "it fails what it is given");
         }
     }
 
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -178,6 +178,17 @@
     assert!(town.to_node(0, restart) >= 6);
 }
 
+#[test]
+fn quick_faults_of_dead_nodes_do_not_widen_a_cold_ones_room() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    (1..6).for_each(|node| town.host.nodes[node] = Some((End::NoConnection, 0.002)));
+    town.list(false, &[row(0, Standing::Active, town.host.now)]);
+    let restart = town.host.now;
+    town.traffic(FULL, 2.0, 0.01);
+    assert!(town.to_node(0, restart) <= 4);
+}
+
 // ---- rule 5: honest answers
 
 #[rstest]
@@ -293,10 +304,14 @@
     let mut town = Town::new(Deployment { holders: 2, ..site() });
     town.traffic(FULL, 3.0, 0.05);
     town.host.nodes[1] = None;
-    (0..4).for_each(|_| drop(town.scan(FULL, &[0])));
+    for _ in 0..4 {
+        town.scan(FULL, &[0]);
+    }
     town.run(0.4);
     let start = town.host.now;
-    (0..6).for_each(|_| drop(town.scan(FIX, &[0])));
+    for _ in 0..6 {
+        town.scan(FIX, &[0]);
+    }
     assert_eq!(town.to_node(1, start), 0);
 }
 
