--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -23,7 +23,7 @@
 /// A trial goes well if it takes no longer than this multiple of what dispatches usually take.
 const SLOW: f64 = 2.5;
 /// A node is silent after this multiple of what nearly all dispatches take.
-const SILENT: f64 = 1.5;
+const SILENT: f64 = 2.0;
 /// Faults among a node's samples that set it aside; a natural error now and then must not.
 const FAULTS: usize = 2;
 /// A node set aside rests for this multiple of what nearly all dispatches take, before its first trial.
@@ -687,13 +687,8 @@
         let Some(node) = self.nodes.get_mut(ended.node).and_then(Option::as_mut) else { return };
         node.outs.retain(|o| (o.scan, o.part, o.shot) != (ended.scan, ended.part, ended.shot));
         match ended.end {
-            // Withdrawn early it tells nothing; withdrawn late, that nothing came for so long.
-            End::Cancelled | End::TimedOut => {
-                node.ghosts.push(self.now - ended.took + median);
-                if ended.took < nearly_all {
-                    return;
-                }
-            }
+            // Whether the node still works on it is told nowhere.
+            End::Cancelled | End::TimedOut => return node.ghosts.push(self.now - ended.took + median),
             // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
             End::Full => {
                 node.refused = self.now;
