--- a/crates/dunepond-simhost/src/desk.rs
+++ b/crates/dunepond-simhost/src/desk.rs
@@ -41,6 +41,8 @@
     broker: Broker,
     desk: Desk,
     incoming: Option<Incoming>,
+    table_types: usize,
+    customers: usize,
 }
 
 impl Desk {
@@ -122,8 +124,11 @@
 
 impl Seat {
     pub fn open(now: f64, init: &Fields) -> Result<Self, Bad> {
+        let site = read::deployment(init)?;
         Ok(Self {
-            broker: Broker::new(read::deployment(init)?),
+            table_types: site.table_types.len(),
+            customers: site.quotas.len().max(1),
+            broker: Broker::new(site),
             desk: Desk { now, ..Desk::default() },
             incoming: None,
         })
@@ -182,8 +187,8 @@
         if seg < 0 {
             let first = Scan {
                 id: scan,
-                table_type: event.count("cls")? as usize,
-                customer: event.count_or_zero("owner")?,
+                table_type: event.index("cls", self.table_types)?,
+                customer: event.index("owner", self.customers)?,
                 expires_in: event.number("expiresInMs")? / 1000.0,
                 resent: event.mark("resent")?,
                 parts: Vec::new(),
@@ -226,7 +231,7 @@
         let ended = Ended {
             scan,
             part,
-            shot: event.count_or_zero("shot")?,
+            shot: event.count_or_zero("shot")? as usize,
             node: self.desk.node(event.text("node")?),
             end,
             took: event.number_or("delaySeenMs", 0.0)? / 1000.0,
--- a/crates/dunepond-simhost/src/read.rs
+++ b/crates/dunepond-simhost/src/read.rs
@@ -71,8 +71,14 @@
         self.read(path, "a whole number", Value::as_u64)
     }
 
-    pub fn count_or_zero(&self, path: &str) -> Result<usize, Bad> {
-        Ok(self.maybe(path, "a whole number", Value::as_u64)?.unwrap_or(0) as usize)
+    pub fn count_or_zero(&self, path: &str) -> Result<u64, Bad> {
+        Ok(self.maybe(path, "a whole number", Value::as_u64)?.unwrap_or(0))
+    }
+
+    /// A position in a list of the settings; the first where it is absent.
+    pub fn index(&self, path: &str, length: usize) -> Result<usize, Bad> {
+        let index = self.count_or_zero(path)? as usize;
+        if index < length { Ok(index) } else { Err(self.bad(path, "beyond the list in the settings")) }
     }
 
     pub fn whole(&self, path: &str) -> Result<i64, Bad> {
@@ -168,7 +174,10 @@
         table_types,
         quotas,
         benefit_by_work: params.text("countedBy")? == "work",
-        cells: params.count("familyInfo.cells")? as usize,
+        cells: match params.count("familyInfo.cells")? {
+            0 => return Err(params.bad("familyInfo.cells", "must be above 0")),
+            cells => cells as usize,
+        },
         holders: params.count("familyInfo.span")? as usize,
         dispatch_cap: params.count("ceilings.attemptsCap")? as usize,
         second_copies: params.mark("ceilings.secondCopies")?,
