Do not take the broker's own standing still for the nodes' silence

A wake overdue by ten ticks is taken off all outstanding times, and dispatches are timed by that clock. It also covers paused machines; it could hide a silence of the same seconds for as long as they last.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -35,6 +35,8 @@
 /// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
 const PRESSED: f64 = 0.25;
 const CRUSHED: f64 = 0.65;
+/// Ticks by which a wake may be late before we take it that we stood still.
+const STOOD_STILL: f64 = 10.0;
 /// A second step waits again, mostly for lighter parts.
 const TWO_STEPS: f64 = 1.5;
 
@@ -127,7 +129,7 @@
     full_try: Vec<f64>,
     taken: VecDeque<(f64, f64)>,
     again: VecDeque<f64>,
-    armed: bool,
+    wake_due: f64,
     /// What dispatches take at the median and nearly all of them: worked out once for all that ask, since
     /// a burst asks thousands of times in one call.
     median: f64,
@@ -201,7 +203,7 @@
             full_try: vec![0.0; site.table_types.len() * site.quotas.len().max(1)],
             taken: VecDeque::new(),
             again: VecDeque::new(),
-            armed: false,
+            wake_due: f64::MAX,
             median: 0.0,
             nearly_all: 0.0,
             site,
@@ -211,7 +213,7 @@
     }
 
     pub fn listed(&mut self, host: &mut dyn Host, complete: bool, rows: &[Listed]) {
-        self.now = host.now();
+        self.hear(host);
         if complete {
             for node in self.nodes.iter_mut().flatten() {
                 node.standing = Standing::Gone;
@@ -246,7 +248,7 @@
     }
 
     pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
-        self.now = host.now();
+        self.hear(host);
         self.taken.push_back((self.now, 1.0 + scan.parts.len() as f64));
         let kind = &self.site.table_types[scan.table_type];
         // A further try has used up part of its client's time. How much shows only once it is given less
@@ -274,7 +276,7 @@
     }
 
     pub fn second_step(&mut self, host: &mut dyn Host, scan: ScanId, parts: Vec<Part>) {
-        self.now = host.now();
+        self.hear(host);
         self.taken.push_back((self.now, parts.len() as f64));
         if let Some(mut held) = self.scans.remove(&scan) {
             held.second = true;
@@ -283,22 +285,22 @@
     }
 
     pub fn ended(&mut self, host: &mut dyn Host, ended: Ended) {
-        self.now = host.now();
+        self.hear(host);
         for stage in UP {
             stage(self, host, &ended);
         }
     }
 
     pub fn client_left(&mut self, host: &mut dyn Host, scan: ScanId) {
-        self.now = host.now();
+        self.hear(host);
         if let Some(held) = self.scans.remove(&scan) {
             self.close(host, &held);
         }
     }
 
     pub fn wake(&mut self, host: &mut dyn Host) {
-        self.now = host.now();
-        self.armed = false;
+        self.hear(host);
+        self.wake_due = f64::MAX;
         for node in 0..self.nodes.len() {
             self.judge(host, node);
         }
@@ -308,10 +310,24 @@
         self.arm(host);
     }
 
+    /// A wake that is overdue means that we stood still ourselves: what came in meanwhile is still unread.
+    /// Taken for the nodes' silence it would set aside the fleet and turn all scans away.
+    fn hear(&mut self, host: &dyn Host) {
+        self.now = host.now();
+        let stood = self.now - self.wake_due;
+        if stood > STOOD_STILL * self.site.tick {
+            self.wake_due = self.now;
+            for node in self.nodes.iter_mut().flatten() {
+                node.heard += stood;
+                node.outs.iter_mut().for_each(|o| o.at += stood);
+            }
+        }
+    }
+
     fn arm(&mut self, host: &mut dyn Host) {
-        if !self.armed && !self.scans.is_empty() {
-            self.armed = true;
-            host.wake_at(self.now + 5.0 * self.site.tick);
+        if self.wake_due == f64::MAX && !self.scans.is_empty() {
+            self.wake_due = self.now + 5.0 * self.site.tick;
+            host.wake_at(self.wake_due);
         }
     }
 
@@ -685,10 +701,12 @@
         let (median, nearly_all) = (self.median, self.nearly_all);
         let rest = REST * nearly_all;
         let Some(node) = self.nodes.get_mut(ended.node).and_then(Option::as_mut) else { return };
-        node.outs.retain(|o| (o.scan, o.part, o.shot) != (ended.scan, ended.part, ended.shot));
+        let sent = |o: &Out| (o.scan, o.part, o.shot) == (ended.scan, ended.part, ended.shot);
+        let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
+        let took = self.now - out.at;
         match ended.end {
             // Whether the node still works on it is told nowhere.
-            End::Cancelled | End::TimedOut => return node.ghosts.push(self.now - ended.took + median),
+            End::Cancelled | End::TimedOut => return node.ghosts.push(out.at + median),
             // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
             End::Full => {
                 node.refused = self.now;
@@ -702,7 +720,7 @@
             node.heard = self.now;
         }
         let warmth = node.warmth(&self.site, self.now);
-        let took = ended.took * warmth;
+        let took = took * warmth;
         // A cold node speaks for no other: it may be quicker than the least it must be, and what seemed
         // usual then would widen the room of all cold nodes.
         if ended.end == End::Completed && warmth >= 1.0 {
@@ -717,7 +735,7 @@
                     node.samples.clear();
                     host.log(&format!("node {} is back in service", ended.node));
                 }
-            } else if self.now - ended.took >= aside.again {
+            } else if out.at >= aside.again {
                 aside.room = 1;
                 aside.again = self.now + rest;
             }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -280,6 +280,20 @@
     assert!(town.host.log.iter().any(|l| l == "node 2 is back in service"));
 }
 
+#[test]
+fn time_that_we_stood_still_is_not_the_nodes_silence() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    for seg in 0..6 {
+        town.scan(FULL, &[seg, (seg + 1) % 6]);
+    }
+    town.host.now += 1.7;
+    let first = town.scan(FULL, &[0]);
+    assert_eq!(town.finals(first), []);
+    town.traffic(FULL, 1.0, 0.05);
+    assert!(!town.host.log.iter().any(|l| l.contains("set aside")));
+}
+
 #[test]
 fn slowness_of_all_sets_none_aside() {
     let mut town = Town::new(site());
