Turn away scans of blocks that no holder in service can answer

It also covers mass crashes. It can harm just after a recovery, for as long as the rest before a trial.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -365,17 +365,18 @@
 
     // ---- admission
 
-    /// How long the oldest part has waited at the best holder of a segment. Nodes that give nothing are no
-    /// overload: turning scans away would not revive them.
+    /// How long the oldest part has waited at the best holder of a segment that is in service or due a trial.
+    /// Where there is none the wait has no end: a scan sent to dead nodes would only take the others' time.
+    /// That is no overload: scans of other segments do not feel it.
     fn wait_for(&self, seg: usize) -> f64 {
         let holders = self.nodes.iter().flatten().filter(|n| self.holds(n, seg));
-        let trusted = holders.filter(|n| n.aside.is_none() && self.has_cold_room(n));
+        let trusted = holders.filter(|n| n.aside.as_ref().is_none_or(|a| self.trial(n, a)));
         let waits = trusted.map(|n| match n.outs.first() {
             _ if self.full(n) => f64::MAX,
             None => 0.0,
             Some(oldest) => self.now - oldest.at,
         });
-        waits.min_by(f64::total_cmp).unwrap_or(0.0)
+        waits.min_by(f64::total_cmp).unwrap_or(f64::MAX)
     }
 
     /// The wait ahead of a scan: of as many of its parts as it needs. Blocks differ in how much they are
