--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -28,8 +28,6 @@
 const FAULTS: usize = 2;
 /// A node set aside rests for this multiple of what nearly all dispatches take, before its first trial.
 const REST: f64 = 3.0;
-/// Samples of a node speak for it during this multiple of what nearly all dispatches take.
-const FRESH: f64 = 10.0;
 /// A trickle this wide ends the setting aside.
 const TRICKLE_END: usize = 8;
 /// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
@@ -71,7 +69,6 @@
     table_type: usize,
     customer: usize,
     admitted: bool,
-    born: f64,
     target_at: f64,
     ends_at: f64,
     pieces: Vec<Piece>,
@@ -264,7 +261,6 @@
             table_type: scan.table_type,
             customer: scan.customer,
             admitted: false,
-            born: self.now,
             target_at: self.now + (kind.target - spent).max(0.0),
             ends_at: self.now + scan.expires_in,
             pieces: Vec::new(),
@@ -556,7 +552,6 @@
     fn place(&mut self, held: &Held, part: usize, last_resort: bool) -> Option<NodeId> {
         let piece = &held.pieces[part];
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
-        let waited = self.now - held.born > 0.25 * (held.target_at - held.born);
         let mut fit = Vec::new();
         let mut doubtful = Vec::new();
         for (id, node) in self.nodes.iter().enumerate() {
@@ -568,20 +563,16 @@
             {
                 continue;
             }
-            let sound = match &node.aside {
-                None => replayable || node.silent(self.now) < self.nearly_all,
-                Some(aside) => replayable && self.trial(node, aside),
-            };
-            if sound { fit.push(id) } else { doubtful.push(id) }
-        }
-        let mut among = fit;
-        if among.is_empty() && last_resort {
-            // What cannot be asked again waits a little for a node that is known to work.
-            among = doubtful;
-            if !replayable && !waited {
-                return None;
+            match &node.aside {
+                None if replayable || node.silent(self.now) < self.nearly_all => fit.push(id),
+                None => doubtful.push(id),
+                // What cannot be asked again waits for a holder in service; unsent it can be turned away.
+                Some(_) if !replayable => {}
+                Some(aside) if self.trial(node, aside) => fit.push(id),
+                Some(_) => doubtful.push(id),
             }
         }
+        let among = if fit.is_empty() && last_resort { doubtful } else { fit };
         match among.len() {
             0 => None,
             1 => Some(among[0]),
@@ -594,13 +585,13 @@
         }
     }
 
-    /// What a node holds of ours, weighed by how much longer than the fleet it took of late.
+    /// What a node holds of ours, weighed by how much longer than the fleet its last parts took. A node that
+    /// has mended is found out once the others hold as many times more.
     fn load(&self, id: NodeId) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
-        let fresh = node.samples.iter().filter(|s| s.at > self.now - FRESH * self.nearly_all);
-        let usual = match fresh.clone().count() < NODE_SAMPLES / 2 {
+        let usual = match node.samples.len() < NODE_SAMPLES / 2 {
             true => self.median,
-            false => quantile(fresh.map(|s| s.took), 0.5).unwrap_or_default(),
+            false => quantile(node.samples.iter().map(|s| s.took), 0.5).unwrap_or_default(),
         };
         (node.outstanding() + 1.0) * (usual / self.median).max(1.0) / node.warmth(&self.site, self.now)
     }
@@ -741,9 +732,6 @@
                 aside.again = self.now + rest;
             }
         }
-        if ended.end == End::NoConnection || ended.end == End::Dropped {
-            self.set_aside(host, ended.node, "its connections fail");
-        }
         self.measure();
         self.judge(host, ended.node);
     }
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -58,8 +58,6 @@
     pub whole_at: f64,
     /// Least share for any answer.
     pub least: f64,
-    /// What an answer short of whole earns, before its share is counted.
-    pub partial: f64,
     pub second_step: bool,
 }
 
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -89,14 +89,13 @@
         repeat: Repeat::Replayable,
         whole_at: 1.0,
         least: 1.0,
-        partial: 0.9,
         second_step: false,
     };
     let quick =
         TableType { whole_at: 0.6, least: 0.6, late: 0.0, timeout: 4.0, benefit: 2.0, ..full.clone() };
     let fix = TableType { repeat: Repeat::NonReplayable, ..full.clone() };
     let keyed = TableType { repeat: Repeat::Keyed(1.0), ..full.clone() };
-    let two_step = TableType { second_step: true, ..full.clone() };
+    let two_step = TableType { second_step: true, whole_at: 0.5, least: 0.5, ..full.clone() };
     let partial = TableType { least: 0.5, ..full.clone() };
     let patient = TableType { target: 20.0, timeout: 30.0, ..full.clone() };
     Deployment {
@@ -188,6 +187,11 @@
         }
     }
 
+    /// What the node was sent of this scan will not end by itself.
+    pub fn hold(&mut self, scan: ScanId) {
+        self.host.due.retain(|(_, e)| e.scan != scan);
+    }
+
     pub fn end(&mut self, scan: ScanId, part: usize, end: End) {
         let shots: Vec<_> = self.host.sent.iter().filter(|s| (s.scan, s.part) == (scan, part)).collect();
         let (shot, last) = (shots.len() - 1, shots[shots.len() - 1].clone());
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -34,17 +34,34 @@
 }
 
 #[test]
-fn a_second_step_is_asked_for_and_awaited() {
+fn a_second_step_is_asked_for_and_all_of_it_awaited() {
     let mut town = Town::new(site());
+    town.host.nodes = vec![None; 6];
     let scan = town.scan(TWO_STEP, &[0, 1]);
-    town.run(0.3);
+    town.end(scan, 1, End::Completed);
     assert_eq!(town.finals(scan), [WHOLE]);
-    town.broker.second_step(&mut town.host, scan, parts(&[0, 1, 0]));
-    assert_eq!(town.sent(scan).len(), 5);
-    town.run(0.3);
+    town.broker.second_step(&mut town.host, scan, parts(&[1, 1]));
+    assert_eq!(town.sent(scan).len(), 4);
+    town.end(scan, 2, End::Completed);
+    assert_eq!(town.finals(scan), [WHOLE]);
+    town.end(scan, 3, End::Completed);
     assert_eq!(town.finals(scan), [WHOLE, WHOLE]);
 }
 
+#[rstest]
+#[case::allowed(true, 1)]
+#[case::forbidden(false, 0)]
+fn leftovers_are_cancelled_where_that_is_allowed(#[case] may_cancel: bool, #[case] cancels: usize) {
+    let mut town = Town::new(Deployment { may_cancel, ..site() });
+    town.host.nodes = vec![None; 6];
+    let scan = town.scan(QUICK, &[0, 3]);
+    town.end(scan, 0, End::Completed);
+    town.end(scan, 1, End::Completed);
+    let scan = town.scan(FULL, &[0]);
+    town.broker.client_left(&mut town.host, scan);
+    assert_eq!(town.host.cancelled.len(), cancels);
+}
+
 #[test]
 fn the_same_calls_give_the_same_orders() {
     let play = || {
@@ -305,13 +322,13 @@
 }
 
 #[test]
-fn a_slow_node_is_given_less() {
+fn a_slow_node_is_given_less_even_when_counts_are_low() {
     let mut town = Town::new(site());
-    town.host.nodes[2] = Some((End::Completed, 0.8));
-    town.traffic(FULL, 3.0, 0.05);
+    town.host.nodes[2] = Some((End::Completed, 0.26));
+    town.traffic(FULL, 9.0, 0.3);
     let start = town.host.now;
-    town.traffic(FULL, 4.0, 0.05);
-    assert!(town.to_node(2, start) * 2 < town.to_node(4, start));
+    town.traffic(FULL, 18.0, 0.3);
+    assert!(town.to_node(2, start) * 3 < town.to_node(4, start));
 }
 
 #[test]
@@ -322,7 +339,7 @@
     for _ in 0..4 {
         town.scan(FULL, &[0]);
     }
-    town.run(0.4);
+    town.run(0.3);
     let start = town.host.now;
     for _ in 0..6 {
         town.scan(FIX, &[0]);
@@ -330,6 +347,56 @@
     assert_eq!(town.to_node(1, start), 0);
 }
 
+#[test]
+fn what_cannot_be_asked_again_is_no_trial() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    town.host.nodes[1] = None;
+    town.traffic(FULL, 1.0, 0.05);
+    assert!(town.aside(1));
+    let start = town.host.now;
+    town.traffic(FIX, 4.0, 0.05);
+    assert_eq!(town.to_node(1, start), 0);
+}
+
+#[test]
+fn a_fleet_that_died_altogether_is_found_again() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    town.host.nodes = vec![None; 6];
+    town.traffic(FULL, 4.0, 0.05);
+    town.host.nodes = vec![Some((End::Completed, 0.2)); 6];
+    town.traffic(FULL, 8.0, 0.05);
+    let scan = town.scan(FULL, &[0, 3]);
+    town.run(1.0);
+    assert_eq!(town.finals(scan), [WHOLE]);
+}
+
+#[test]
+fn a_new_process_under_an_old_id_is_not_judged_by_its_forerunner() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    town.host.nodes[2] = Some((End::NoConnection, 0.002));
+    town.traffic(FULL, 1.0, 0.02);
+    town.host.nodes[2] = Some((End::Completed, 0.2));
+    let restart = town.host.now;
+    town.list(false, &[row(2, Standing::Active, restart - 14.9)]);
+    town.traffic(FIX, 0.5, 0.02);
+    assert!(town.to_node(2, restart) >= 2);
+}
+
+#[test]
+fn a_costly_part_is_copied_in_time_but_not_sooner() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.03);
+    let scan = town.scan(FULL, &[0]);
+    town.hold(scan);
+    town.traffic(FULL, 0.6, 0.03);
+    assert_eq!(town.sent(scan).len(), 1);
+    town.traffic(FULL, 0.4, 0.03);
+    assert_eq!(town.sent(scan).len(), 2);
+}
+
 #[test]
 fn a_node_that_refused_as_full_is_left_alone_for_a_while() {
     let mut town = Town::new(site());
@@ -423,3 +490,29 @@
     assert!(town.sent(hasty).is_empty());
     assert!(matches!(town.finals(hasty)[..], [Final::Throttle { .. }]));
 }
+
+#[test]
+fn a_further_try_that_can_earn_nothing_any_more_is_turned_away() {
+    let mut town = Town::new(site());
+    let first = town.scan_of(QUICK, &[0], 0, 4.0, false);
+    let again = town.scan_of(QUICK, &[0], 0, 1.5, true);
+    assert_eq!(town.finals(first), []);
+    assert!(matches!(town.finals(again)[..], [Final::Throttle { .. }]));
+}
+
+#[rstest]
+#[case::one_step(FULL, false, 0)]
+#[case::a_second_step_waits_again(TWO_STEP, false, 1)]
+#[case::late_already(FULL, true, 1)]
+fn a_light_wait_turns_away_what_it_makes_late(#[case] kind: usize, #[case] late: bool, #[case] away: usize) {
+    let mut town = Town::new(Deployment { quotas: vec![0.0, 3000.0], ..site() });
+    town.host.nodes = vec![Some((End::Completed, if late { 0.75 } else { 0.48 })); 6];
+    (0..200).for_each(|_| {
+        town.scan_of(PATIENT, &[0], 1, 30.0, false);
+        town.run(0.02);
+    });
+    let customer = if late { 1 } else { 0 };
+    town.scan_of(kind, &[3], customer, 5.9, false);
+    let scan = town.scan_of(kind, &[0], customer, if late { 3.0 } else { 5.9 }, late);
+    assert_eq!(town.finals(scan).len(), away);
+}
--- a/crates/dunepond-simhost/src/read.rs
+++ b/crates/dunepond-simhost/src/read.rs
@@ -127,7 +127,6 @@
     let seconds = |path: &str| Ok::<f64, Bad>(params.number(path)? / 1000.0);
     let whole_at = params.numbers("familyInfo.wholeAt")?;
     let least = params.numbers("familyInfo.leastShare")?;
-    let partial = params.numbers("familyInfo.partialEarns")?;
     let second = params.numbers("familyInfo.secondStep")?;
     let mut table_types = Vec::new();
     for (i, service) in params.list("services")?.iter().enumerate() {
@@ -148,7 +147,6 @@
             },
             whole_at: of(&whole_at, "familyInfo.wholeAt")?,
             least: of(&least, "familyInfo.leastShare")?,
-            partial: of(&partial, "familyInfo.partialEarns")?,
             second_step: of(&second, "familyInfo.secondStep")? > 0.0,
         });
     }
