--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -26,6 +26,8 @@
 const SILENT: f64 = 2.0;
 /// Faults among a node's samples that set it aside; a natural error now and then must not.
 const FAULTS: usize = 2;
+/// Later dispatches that must have come back before one that is withdrawn late is taken for lost.
+const OVERTAKEN: usize = 2;
 /// A node set aside rests for this multiple of what nearly all dispatches take, before its first trial.
 const REST: f64 = 3.0;
 /// A trickle this wide ends the setting aside.
@@ -85,7 +87,7 @@
 }
 
 struct Sample {
-    at: f64,
+    sent: f64,
     took: f64,
     end: End,
 }
@@ -134,7 +136,7 @@
 }
 
 fn fault(end: End) -> bool {
-    matches!(end, End::Error | End::NoConnection | End::Dropped)
+    !matches!(end, End::Completed)
 }
 
 fn never_ran(end: Option<End>) -> bool {
@@ -610,7 +612,7 @@
         let full = warm.filter(|n| n.samples.len() == NODE_SAMPLES && n.standing == Standing::Active);
         let (rates, count) = full.fold((0.0, 0.0), |(sum, count), n| {
             let completed = n.samples.iter().filter(|s| s.end == End::Completed).count() as f64;
-            (sum + completed / (self.now - n.samples[0].at).max(self.site.tick), count + 1.0)
+            (sum + completed / (self.now - n.samples[0].sent).max(self.site.tick), count + 1.0)
         });
         let seen = if count > 0.0 { rates / count } else { 0.0 };
         let room = cold.multiple * warmth * cold.span * seen.max(1.0 / (self.median * self.site.brokers));
@@ -697,8 +699,15 @@
         let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
         let took = self.now - out.at;
         match ended.end {
-            // Whether the node still works on it is told nowhere.
-            End::Cancelled | End::TimedOut => return node.ghosts.push(out.at + median),
+            End::Cancelled | End::TimedOut => {
+                // Some nodes answer a part of what they take and swallow the rest, so that they are never
+                // silent for long. What later ones overtook, and nobody answered for so long, is lost.
+                let overtaken = node.samples.iter().filter(|s| s.sent > out.at).count() >= OVERTAKEN;
+                if !overtaken || took < SILENT * nearly_all {
+                    // Whether the node still works on it is told nowhere.
+                    return node.ghosts.push(out.at + median);
+                }
+            }
             // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
             End::Full => {
                 node.refused = self.now;
@@ -718,7 +727,7 @@
         if ended.end == End::Completed && warmth >= 1.0 {
             keep_last(&mut self.fleet, took, FLEET_SAMPLES);
         }
-        keep_last(&mut node.samples, Sample { at: self.now, took, end: ended.end }, NODE_SAMPLES);
+        keep_last(&mut node.samples, Sample { sent: out.at, took, end: ended.end }, NODE_SAMPLES);
         if let Some(aside) = &mut node.aside {
             if ended.end == End::Completed && took <= SLOW * median {
                 aside.room *= 2;
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -185,8 +185,8 @@
         }
     }
 
-    pub fn hold(&mut self, scan: ScanId) {
-        self.host.due.retain(|(_, e)| e.scan != scan);
+    pub fn hold(&mut self, scan: ScanId, node: NodeId) {
+        self.host.due.retain(|(_, e)| (e.scan, e.node) != (scan, node));
     }
 
     pub fn end(&mut self, scan: ScanId, part: usize, end: End) {
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -230,6 +230,20 @@
     assert!(town.to_node(2, start) <= 10);
 }
 
+#[test]
+fn a_node_that_swallows_some_of_its_parts_is_set_aside() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    (0..300).for_each(|turn| {
+        let scan = town.scan(FULL, &[2]);
+        if turn % 3 == 0 {
+            town.hold(scan, 2);
+        }
+        town.run(0.01);
+    });
+    assert!(town.host.log.iter().any(|l| l == "node 2 is set aside: it fails what it is given"));
+}
+
 #[test]
 fn one_stray_error_sets_no_node_aside() {
     let mut town = Town::new(site());
@@ -258,9 +272,7 @@
 fn time_that_we_stood_still_is_not_the_nodes_silence() {
     let mut town = Town::new(site());
     town.traffic(FULL, 3.0, 0.05);
-    for seg in 0..6 {
-        town.scan(FULL, &[seg, (seg + 1) % 6]);
-    }
+    (0..6).for_each(|seg| _ = town.scan(FULL, &[seg, (seg + 1) % 6]));
     town.host.now += 1.7;
     let first = town.scan(FULL, &[0]);
     assert_eq!(town.finals(first), []);
@@ -283,14 +295,10 @@
     let mut town = Town::new(Deployment { holders: 2, ..site() });
     town.traffic(FULL, 3.0, 0.05);
     town.host.nodes[1] = None;
-    for _ in 0..4 {
-        town.scan(FULL, &[0]);
-    }
+    (0..4).for_each(|_| _ = town.scan(FULL, &[0]));
     town.run(0.3);
     let start = town.host.now;
-    for _ in 0..6 {
-        town.scan(FIX, &[0]);
-    }
+    (0..6).for_each(|_| _ = town.scan(FIX, &[0]));
     assert_eq!(town.to_node(1, start), 0);
 }
 
@@ -370,7 +378,7 @@
     };
     fill(&mut town, 3.0);
     let scan = town.scan_of(QUICK, &[0, 3], 0, 3.9, false);
-    town.hold(scan);
+    (0..6).for_each(|node| town.hold(scan, node));
     fill(&mut town, 1.5);
     let copies = town.sent(scan).iter().filter(|s| s.part == 0).count();
     assert_eq!(copies, 1);
@@ -381,7 +389,7 @@
     let mut town = Town::new(site());
     town.traffic(FULL, 3.0, 0.03);
     let scan = town.scan(FULL, &[0]);
-    town.hold(scan);
+    (0..6).for_each(|node| town.hold(scan, node));
     town.traffic(FULL, 0.6, 0.03);
     assert_eq!(town.sent(scan).len(), 1);
     town.traffic(FULL, 0.4, 0.03);
