--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -160,6 +160,11 @@
     fn out(&self) -> impl Iterator<Item = &Shot> {
         self.shots.iter().filter(|s| s.end.is_none())
     }
+
+    fn cancel(&self, host: &mut dyn Host, site: &Deployment, scan: ScanId, part: usize) {
+        let out = self.shots.iter().enumerate().filter(|(_, s)| site.may_cancel && s.end.is_none());
+        out.for_each(|(shot, _)| host.cancel(scan, part, shot));
+    }
 }
 
 impl Held {
@@ -351,12 +356,8 @@
     }
 
     fn close(&mut self, host: &mut dyn Host, held: &Held) {
-        if self.site.may_cancel {
-            for (part, piece) in held.pieces.iter().enumerate() {
-                for (shot, _) in piece.shots.iter().enumerate().filter(|(_, s)| s.end.is_none()) {
-                    host.cancel(held.id, part, shot);
-                }
-            }
+        for (part, piece) in held.pieces.iter().enumerate() {
+            piece.cancel(host, &self.site, held.id, part);
         }
         host.forget(held.id);
     }
@@ -380,13 +381,12 @@
     /// The wait ahead of a scan: of as many of its parts as it needs. Blocks differ in how much they are
     /// asked for, so that some holders may drown while the fleet is at ease.
     fn wait_ahead(&self, held: &Held) -> f64 {
-        let kind = &self.site.table_types[held.table_type];
         let mut waits: Vec<_> = held.step().iter().map(|p| (self.wait_for(p.seg), p.weight)).collect();
         waits.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut weight = 0.0;
         let enough = waits.iter().find(|w| {
             weight += w.1;
-            weight >= kind.whole_at - 1e-6
+            weight >= self.need(held)
         });
         enough.map_or(0.0, |w| w.0)
     }
@@ -420,15 +420,7 @@
         let work = if self.site.benefit_by_work { 1.0 } else { held.pieces.len() as f64 * kind.whole_at };
         let density = kind.benefit * if late { kind.late } else { 1.0 } / work;
         keep_last(&mut self.density, density, FLEET_SAMPLES);
-        let below = |d: &f64| {
-            if *d < density {
-                1.0
-            } else if *d > density {
-                0.0
-            } else {
-                0.5
-            }
-        };
+        let below = |d: &f64| 0.5 * (f64::from(*d < density) + f64::from(*d <= density));
         let rank = self.density.iter().map(below).sum::<f64>() / self.density.len() as f64;
         let steps = if kind.second_step { TWO_STEPS } else { 1.0 };
         let level = (steps * self.wait_ahead(held) / horizon - PRESSED) / (CRUSHED - PRESSED);
@@ -494,7 +486,7 @@
             return Pass::Keep;
         }
         let kind = &self.site.table_types[held.table_type];
-        let need = if held.second { 1.0 } else { kind.whole_at } - 1e-6;
+        let need = self.need(held);
         if held.weight(|p| p.done) >= need {
             host.answer(held.id, true);
             if !kind.second_step || held.second {
@@ -510,6 +502,11 @@
         Pass::On
     }
 
+    /// The weight of parts that makes the present step whole; shares sum up with a rounding.
+    fn need(&self, held: &Held) -> f64 {
+        if held.second { 1.0 - 1e-6 } else { self.site.table_types[held.table_type].whole_at - 1e-6 }
+    }
+
     /// Another dispatch of this part breaks no rule of its table type.
     fn may_go(&self, held: &Held, piece: &Piece) -> bool {
         let ran = |s: &&Shot| !never_ran(s.end);
@@ -626,7 +623,7 @@
     /// Retries of what has failed, and second copies of what will not come in time.
     fn further(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
         let kind = &self.site.table_types[held.table_type];
-        let need = if held.second { 1.0 } else { kind.whole_at } - 1e-6;
+        let need = self.need(held);
         let target = kind.target;
         let overdue = (1.25 * self.nearly_all).max(0.4 * target);
         let replayable = kind.repeat == Repeat::Replayable;
@@ -684,7 +681,8 @@
             true => 0.4 * q * shortest,
             false => quantile(self.fleet.iter().copied(), q).unwrap_or_default(),
         };
-        (self.median, self.nearly_all) = (usual(0.5), usual(0.95));
+        let least = self.site.tick;
+        (self.median, self.nearly_all) = (usual(0.5).max(least), usual(0.95).max(least));
     }
 
     fn trial(&self, node: &Node, aside: &Aside) -> bool {
@@ -758,8 +756,7 @@
     /// Sets a node aside by its symptoms.
     fn judge(&mut self, host: &mut dyn Host, id: NodeId) {
         let silence = SILENT * self.nearly_all;
-        let rest = REST * self.nearly_all;
-        let now = self.now;
+        let (rest, now) = (REST * self.nearly_all, self.now);
         let Some(node) = self.nodes[id].as_mut() else { return };
         node.ghosts.retain(|until| *until > now);
         node.sent_cold.retain(|t| *t > now - self.site.cold.warm_after);
@@ -787,11 +784,7 @@
         }
         if ended.end == End::Completed && !piece.done {
             piece.done = true;
-            if self.site.may_cancel {
-                for (shot, _) in piece.shots.iter().enumerate().filter(|(_, s)| s.end.is_none()) {
-                    host.cancel(ended.scan, ended.part, shot);
-                }
-            }
+            piece.cancel(host, &self.site, ended.scan, ended.part);
         }
         self.pass(host, ended.scan);
     }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -8,8 +8,6 @@
 
 const WHOLE: Final = Final::Answer { whole: true };
 
-// ---- the ordinary path
-
 #[test]
 fn all_parts_go_out_together_and_enough_of_them_answer() {
     let mut town = Town::new(site());
@@ -58,8 +56,6 @@
     assert_eq!(town.host.cancelled.len(), cancels);
 }
 
-// ---- rule 1: one final answer in time
-
 #[rstest]
 #[case::worthless_after_its_target(QUICK, 2.1)]
 #[case::replayable(FULL, 3.9)]
@@ -73,8 +69,6 @@
     assert!(town.host.finals[0].0 < 100.0 + by);
 }
 
-// ---- rule 2: no effect twice
-
 #[rstest]
 #[case::error(End::Error, 1, Some(Final::Abandon))]
 #[case::timed_out(End::TimedOut, 1, Some(Final::Abandon))]
@@ -106,8 +100,6 @@
     assert_eq!(town.sent(scan).len(), sends);
 }
 
-// ---- rule 3: drains
-
 #[rstest]
 #[case::told(false, vec![row(0, Standing::Draining, 0.0), row(1, Standing::Gone, 0.0)])]
 #[case::missing_from_a_full_list(true, (2..6).map(|n| row(n, Standing::Active, 0.0)).collect())]
@@ -118,8 +110,6 @@
     assert_eq!(town.to_node(0, 0.0) + town.to_node(1, 0.0), 0);
 }
 
-// ---- rule 4: cold nodes
-
 fn most_in_any_span(town: &Town, node: NodeId, span: f64) -> usize {
     let times: Vec<f64> = town.host.sent.iter().filter(|s| s.node == node).map(|s| s.at).collect();
     times.iter().map(|t| times.iter().filter(|u| **u >= *t && **u < t + span).count()).max().unwrap_or(0)
@@ -162,8 +152,6 @@
     assert!(town.to_node(0, restart) <= 4);
 }
 
-// ---- rule 5: honest answers
-
 #[rstest]
 #[case::half_is_enough(2, Final::Answer { whole: false })]
 #[case::a_quarter_is_not(1, Final::Throttle { wait: 0.0 })]
@@ -176,8 +164,6 @@
     assert_eq!(town.finals(scan), [expected]);
 }
 
-// ---- rule 6: further dispatches
-
 #[test]
 fn further_dispatches_stay_in_the_budget() {
     let budget = FurtherBudget { window: 2.0, free: 3.0, share: 0.05 };
@@ -199,8 +185,6 @@
     assert!(matches!(town.finals(scan)[..], [Final::Throttle { .. }]));
 }
 
-// ---- failures met
-
 #[test]
 fn a_silent_node_is_set_aside_and_its_parts_are_copied() {
     let mut town = Town::new(site());
@@ -406,8 +390,6 @@
     assert!(town.to_node(2, start) <= 6);
 }
 
-// ---- overload
-
 /// The holders of segment 0 answer all, but after more than half a target time; the others are at ease.
 fn drowned() -> Town {
     let mut town = Town::new(site());
