Prune the budget's records where they are made; one place for a node's rest

Where no budget is stated, the scans taken and further dispatches were recorded and never pruned: a broker that runs for long would have grown without end. They are kept only where a budget is stated, and the taken ones are pruned as they come.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -135,10 +135,6 @@
     nearly_all: f64,
 }
 
-fn fault(end: End) -> bool {
-    !matches!(end, End::Completed)
-}
-
 fn never_ran(end: Option<End>) -> bool {
     matches!(end, Some(End::Full | End::NoConnection | End::NotSent))
 }
@@ -177,6 +173,12 @@
     }
 }
 
+impl Aside {
+    fn rest(now: f64, nearly_all: f64) -> Self {
+        Self { again: now + REST * nearly_all, room: 1 }
+    }
+}
+
 impl Node {
     /// What part of its capacity a node that started lately has at least.
     fn warmth(&self, site: &Deployment, now: f64) -> f64 {
@@ -253,7 +255,7 @@
 
     pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
         self.hear(host);
-        self.taken.push_back((self.now, 1.0 + scan.parts.len() as f64));
+        self.take(1.0 + scan.parts.len() as f64);
         let kind = &self.site.table_types[scan.table_type];
         // A further try has used up part of its client's time. How much shows only once it is given less
         // than that customer's first tries, which some clients keep short.
@@ -280,7 +282,7 @@
 
     pub fn second_step(&mut self, host: &mut dyn Host, scan: ScanId, parts: Vec<Part>) {
         self.hear(host);
-        self.taken.push_back((self.now, parts.len() as f64));
+        self.take(parts.len() as f64);
         if let Some(mut held) = self.scans.remove(&scan) {
             held.second = true;
             self.enter(host, held, parts);
@@ -644,7 +646,9 @@
                 continue;
             }
             if let Some(node) = self.place(held, part, out == 0) {
-                self.again.push_back(self.now);
+                if self.site.budget.is_some() {
+                    self.again.push_back(self.now);
+                }
                 self.dispatch(host, held, part, node);
             }
         }
@@ -659,15 +663,22 @@
         self.now - shot.at > overdue || self.aside(shot.node)
     }
 
+    fn take(&mut self, scans_and_parts: f64) {
+        let Some(budget) = &self.site.budget else { return };
+        self.taken.push_back((self.now, scans_and_parts));
+        while self.taken.front().is_some_and(|t| t.0 < self.now - budget.window) {
+            self.taken.pop_front();
+        }
+    }
+
+    /// Reckoned over a window a tick too long for what we made and a tick too short for what we took.
     fn in_budget(&mut self) -> bool {
         let Some(budget) = &self.site.budget else { return true };
-        while self.again.front().is_some_and(|t| *t < self.now - budget.window - self.site.tick) {
+        let (long, short) = (budget.window + self.site.tick, budget.window - self.site.tick);
+        while self.again.front().is_some_and(|t| *t < self.now - long) {
             self.again.pop_front();
         }
-        while self.taken.front().is_some_and(|t| t.0 < self.now - budget.window + self.site.tick) {
-            self.taken.pop_front();
-        }
-        let taken: f64 = self.taken.iter().map(|t| t.1).sum();
+        let taken: f64 = self.taken.iter().filter(|t| t.0 >= self.now - short).map(|t| t.1).sum();
         self.again.len() as f64 + 1.0 <= budget.free + budget.share * taken
     }
 
@@ -691,7 +702,6 @@
 
     fn health(&mut self, host: &mut dyn Host, ended: &Ended) {
         let (median, nearly_all) = (self.median, self.nearly_all);
-        let rest = REST * nearly_all;
         let Some(node) = self.nodes.get_mut(ended.node).and_then(Option::as_mut) else { return };
         let sent = |o: &Out| (o.scan, o.part, o.shot) == (ended.scan, ended.part, ended.shot);
         let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
@@ -735,45 +745,35 @@
                     host.log(&format!("node {} is back in service", ended.node));
                 }
             } else {
-                aside.room = 1;
-                aside.again = self.now + rest;
+                *aside = Aside::rest(self.now, nearly_all);
             }
         }
         self.measure();
         self.judge(host, ended.node);
     }
 
-    fn set_aside(&mut self, host: &mut dyn Host, id: NodeId, why: &str) {
-        let rest = REST * self.nearly_all;
-        if let Some(node) = &mut self.nodes[id]
-            && node.aside.is_none()
-        {
-            node.aside = Some(Aside { again: self.now + rest, room: 1 });
-            host.log(&format!("node {id} is set aside: {why}"));
-        }
-    }
-
     /// Sets a node aside by its symptoms.
     fn judge(&mut self, host: &mut dyn Host, id: NodeId) {
         let silence = SILENT * self.nearly_all;
-        let (rest, now) = (REST * self.nearly_all, self.now);
+        let now = self.now;
         let Some(node) = self.nodes[id].as_mut() else { return };
         node.ghosts.retain(|until| *until > now);
         node.sent_cold.retain(|t| *t > now - self.site.cold.warm_after);
         if let Some(aside) = &mut node.aside {
             if node.outs.iter().any(|o| o.at >= aside.again && now - o.at > silence) {
-                aside.room = 1;
-                aside.again = now + rest;
+                *aside = Aside::rest(now, self.nearly_all);
             }
             return;
         }
         let silent = node.silent(now) * node.warmth(&self.site, now) > silence;
-        let faults = node.samples.iter().filter(|s| fault(s.end)).count() >= FAULTS;
-        if silent {
-            self.set_aside(host, id, "it is silent");
-        } else if faults {
-            self.set_aside(host, id, "it fails what it is given");
-        }
+        let faults = node.samples.iter().filter(|s| s.end != End::Completed).count() >= FAULTS;
+        let why = match (silent, faults) {
+            (true, _) => "it is silent",
+            (_, true) => "it fails what it is given",
+            _ => return,
+        };
+        node.aside = Some(Aside::rest(now, self.nearly_all));
+        host.log(&format!("node {id} is set aside: {why}"));
     }
 
     fn returned(&mut self, host: &mut dyn Host, ended: &Ended) {
--- a/crates/dunepond-simhost/src/desk.rs
+++ b/crates/dunepond-simhost/src/desk.rs
@@ -55,13 +55,6 @@
         self.nodes.len() - 1
     }
 
-    fn over(&mut self, scan: ScanId) {
-        if let Some(named) = self.scans.get_mut(&scan) {
-            named.over = true;
-        }
-        self.release(scan);
-    }
-
     fn release(&mut self, scan: ScanId) {
         if self.scans.get(&scan).is_some_and(|n| n.over && n.out == 0)
             && let Some(named) = self.scans.remove(&scan)
@@ -110,7 +103,10 @@
     }
 
     fn forget(&mut self, scan: ScanId) {
-        self.over(scan);
+        if let Some(named) = self.scans.get_mut(&scan) {
+            named.over = true;
+        }
+        self.release(scan);
     }
 
     fn wake_at(&mut self, at: f64) {
