Look only at a block's holders, at scans that are due and at busy nodes

Cause: placing a part and reckoning a cold node's room walked the whole fleet, and each wake passed all scans. Change: holders by cell; each scan knows when time alone can change it (its last call, a part that becomes overdue, or a wait of a thirty-second part of its age where something could not go); a node set aside makes its scans due; the rate of warm nodes is worked out once a wake.

Conclusion: nothing is decided anew; cost no longer grows with the fleet.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -73,6 +73,9 @@
     admitted: bool,
     target_at: f64,
     ends_at: f64,
+    came: f64,
+    /// When something about it may change by time alone: a burst's scans are not all passed at each wake.
+    due: f64,
     pieces: Vec<Piece>,
     /// Where the pieces of the present step begin.
     step_from: usize,
@@ -99,7 +102,6 @@
 }
 
 struct Node {
-    cell: usize,
     standing: Standing,
     started: f64,
     heard: f64,
@@ -118,6 +120,8 @@
     now: f64,
     rng: Pcg64Mcg,
     nodes: Vec<Option<Node>>,
+    /// Nodes by cell: only a segment's holders are looked at, or each part would cost more in a larger fleet.
+    cells: Vec<Vec<NodeId>>,
     scans: BTreeMap<ScanId, Held>,
     fleet: VecDeque<f64>,
     /// Benefit for the work of the last scans that came.
@@ -127,12 +131,15 @@
     /// What the last first try was given, by customer and table type.
     full_try: Vec<f64>,
     taken: VecDeque<(f64, f64)>,
+    taken_sum: f64,
     again: VecDeque<f64>,
     wake_due: f64,
     /// What dispatches take at the median and nearly all of them: worked out once for all that ask, since
     /// a burst asks thousands of times in one call.
     median: f64,
     nearly_all: f64,
+    /// What warm nodes are seen to complete for us each second.
+    seen: f64,
 }
 
 fn never_ran(end: Option<End>) -> bool {
@@ -202,16 +209,19 @@
             now: 0.0,
             rng: Pcg64Mcg::seed_from_u64(site.seed),
             nodes: Vec::new(),
+            cells: vec![Vec::new(); site.cells],
             scans: BTreeMap::new(),
             fleet: VecDeque::new(),
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
             full_try: vec![0.0; site.table_types.len() * site.quotas.len().max(1)],
             taken: VecDeque::new(),
+            taken_sum: 0.0,
             again: VecDeque::new(),
             wake_due: f64::MAX,
             median: 0.0,
             nearly_all: 0.0,
+            seen: 0.0,
             site,
         };
         broker.measure();
@@ -229,8 +239,11 @@
             if self.nodes.len() <= row.node {
                 self.nodes.resize_with(row.node + 1, || None);
             }
+            let cells = self.cells.len();
+            if self.nodes[row.node].is_none() {
+                self.cells[row.cell % cells].push(row.node);
+            }
             let node = self.nodes[row.node].get_or_insert_with(|| Node {
-                cell: row.cell,
                 standing: row.standing,
                 started: row.started,
                 heard: f64::MIN,
@@ -241,7 +254,6 @@
                 sent_cold: VecDeque::new(),
                 aside: None,
             });
-            node.cell = row.cell;
             node.standing = row.standing;
             if row.started > node.started {
                 // A new process under the old name: what we hold against the old one says nothing of it.
@@ -272,6 +284,8 @@
             admitted: false,
             target_at: self.now + (kind.target - spent).max(0.0),
             ends_at: self.now + scan.expires_in,
+            came: self.now,
+            due: f64::MAX,
             pieces: Vec::new(),
             step_from: 0,
             second: false,
@@ -306,10 +320,14 @@
     pub fn wake(&mut self, host: &mut dyn Host) {
         self.hear(host);
         self.wake_due = f64::MAX;
+        self.seen = self.warm_rate();
         for node in 0..self.nodes.len() {
-            self.judge(host, node);
+            if self.nodes[node].as_ref().is_some_and(|n| n.outstanding() > 0.0) {
+                self.judge(host, node);
+            }
         }
-        for id in self.scans.keys().copied().collect::<Vec<_>>() {
+        let due = self.scans.values().filter(|held| held.due <= self.now);
+        for id in due.map(|held| held.id).collect::<Vec<_>>() {
             self.pass(host, id);
         }
         self.arm(host);
@@ -347,6 +365,7 @@
 
     fn pass(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(mut held) = self.scans.remove(&id) else { return };
+        held.due = self.last_call(&held);
         for stage in DOWN {
             match stage(self, host, &mut held) {
                 Pass::On => {}
@@ -370,8 +389,8 @@
     /// Where there is none the wait has no end: a scan sent to dead nodes would only take the others' time.
     /// That is no overload: scans of other segments do not feel it.
     fn wait_for(&self, seg: usize) -> f64 {
-        let holders = self.nodes.iter().flatten().filter(|n| self.holds(n, seg));
-        let trusted = holders.filter(|n| n.aside.as_ref().is_none_or(|a| self.trial(n, a)));
+        let trusted =
+            self.holders(seg).map(|h| h.1).filter(|n| n.aside.as_ref().is_none_or(|a| self.trial(n, a)));
         let waits = trusted.map(|n| match n.outs.first() {
             _ if self.full(n) => f64::MAX,
             None => 0.0,
@@ -398,9 +417,11 @@
         self.now - node.refused < self.median
     }
 
-    fn holds(&self, node: &Node, seg: usize) -> bool {
-        let cells = self.site.cells;
-        node.standing == Standing::Active && (node.cell + cells - seg % cells) % cells < self.site.holders
+    fn holders(&self, seg: usize) -> impl Iterator<Item = (NodeId, &Node)> {
+        let cells = self.cells.len();
+        let ids = (0..self.site.holders.min(cells)).flat_map(move |j| &self.cells[(seg + j) % cells]);
+        let known = ids.filter_map(|id| self.nodes[*id].as_ref().map(|n| (*id, n)));
+        known.filter(|(_, n)| n.standing == Standing::Active)
     }
 
     /// Under overload the least benefit goes first: beyond a customer's share, then late, then dear.
@@ -452,11 +473,16 @@
 
     // ---- time
 
+    /// The last wake that surely comes before its client's time is up, or before it is worth nothing.
+    fn last_call(&self, held: &Held) -> f64 {
+        let worthless = self.site.table_types[held.table_type].late <= 0.0;
+        let end = held.ends_at - 7.0 * self.site.tick;
+        if worthless { end.min(held.target_at) } else { end }
+    }
+
     fn in_time(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
         let kind = &self.site.table_types[held.table_type];
-        let last_moment = held.ends_at - 2.0 * self.site.tick;
-        let worthless = kind.late <= 0.0 && self.now > held.target_at;
-        if self.now + 5.0 * self.site.tick < last_moment && !worthless {
+        if self.now < self.last_call(held) {
             return Pass::On;
         }
         let share = held.weight(|p| p.done);
@@ -545,6 +571,9 @@
             n.outs.push(Out { scan: held.id, part, shot: shots.len() - 1, at: self.now });
             if n.warmth(&self.site, self.now) < 1.0 {
                 n.sent_cold.push_back(self.now);
+                while n.sent_cold.front().is_some_and(|t| *t < self.now - self.site.cold.warm_after) {
+                    n.sent_cold.pop_front();
+                }
             }
         }
     }
@@ -555,13 +584,8 @@
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
         let mut fit = Vec::new();
         let mut doubtful = Vec::new();
-        for (id, node) in self.nodes.iter().enumerate() {
-            let Some(node) = node else { continue };
-            if !self.holds(node, piece.seg)
-                || piece.shots.iter().any(|s| s.node == id)
-                || !self.has_cold_room(node)
-                || self.full(node)
-            {
+        for (id, node) in self.holders(piece.seg) {
+            if piece.shots.iter().any(|s| s.node == id) || !self.has_cold_room(node) || self.full(node) {
                 continue;
             }
             match &node.aside {
@@ -607,17 +631,21 @@
             return true;
         }
         let cold = &self.site.cold;
+        let seen = self.seen.max(1.0 / (self.median * self.site.brokers));
+        let room = cold.multiple * warmth * cold.span * seen;
+        let span = cold.span / room.min(1.0);
+        let sent = node.sent_cold.iter().filter(|t| **t > self.now - span).count();
+        sent as f64 + 1.0 <= room.max(1.0)
+    }
+
+    fn warm_rate(&self) -> f64 {
         let warm = self.nodes.iter().flatten().filter(|n| n.warmth(&self.site, self.now) >= 1.0);
         let full = warm.filter(|n| n.samples.len() == NODE_SAMPLES && n.standing == Standing::Active);
         let (rates, count) = full.fold((0.0, 0.0), |(sum, count), n| {
             let completed = n.samples.iter().filter(|s| s.end == End::Completed).count() as f64;
             (sum + completed / (self.now - n.samples[0].sent).max(self.site.tick), count + 1.0)
         });
-        let seen = if count > 0.0 { rates / count } else { 0.0 };
-        let room = cold.multiple * warmth * cold.span * seen.max(1.0 / (self.median * self.site.brokers));
-        let span = cold.span / room.min(1.0);
-        let sent = node.sent_cold.iter().filter(|t| **t > self.now - span).count();
-        sent as f64 + 1.0 <= room.max(1.0)
+        if count > 0.0 { rates / count } else { 0.0 }
     }
 
     // ---- further dispatches
@@ -631,9 +659,16 @@
         let replayable = kind.repeat == Repeat::Replayable;
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| !b.hopeless(s, overdue));
         let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
+        // What could not go now is tried again, the more seldom the longer it has waited.
+        let later = self.now + (5.0 * self.site.tick).max((self.now - held.came) / 32.0);
         for part in held.step_from..held.pieces.len() {
             let piece = &held.pieces[part];
             let out = piece.out().count();
+            if !piece.done && out < 2 {
+                let overdue = piece.out().map(|s| s.at + overdue).find(|at| *at > self.now);
+                held.due = held.due.min(overdue.unwrap_or(later));
+            }
+            let piece = &held.pieces[part];
             let due =
                 if out == 0 { !piece.shots.is_empty() } else { out == 1 && copies && !well(self, piece) };
             if !due || !self.may_go(held, piece) || !self.in_budget() {
@@ -664,11 +699,8 @@
     }
 
     fn take(&mut self, scans_and_parts: f64) {
-        let Some(budget) = &self.site.budget else { return };
         self.taken.push_back((self.now, scans_and_parts));
-        while self.taken.front().is_some_and(|t| t.0 < self.now - budget.window) {
-            self.taken.pop_front();
-        }
+        self.taken_sum += scans_and_parts;
     }
 
     /// Reckoned over a window a tick too long for what we made and a tick too short for what we took.
@@ -678,8 +710,10 @@
         while self.again.front().is_some_and(|t| *t < self.now - long) {
             self.again.pop_front();
         }
-        let taken: f64 = self.taken.iter().filter(|t| t.0 >= self.now - short).map(|t| t.1).sum();
-        self.again.len() as f64 + 1.0 <= budget.free + budget.share * taken
+        while self.taken.front().is_some_and(|t| t.0 < self.now - short) {
+            self.taken_sum -= self.taken.pop_front().map_or(0.0, |t| t.1);
+        }
+        self.again.len() as f64 + 1.0 <= budget.free + budget.share * self.taken_sum
     }
 
     // ---- health
@@ -688,9 +722,11 @@
     /// shortest target time.
     fn measure(&mut self) {
         let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
-        let usual = |q: f64| match self.fleet.len() < NODE_SAMPLES {
+        let mut sorted: Vec<f64> = self.fleet.iter().copied().collect();
+        sorted.sort_unstable_by(f64::total_cmp);
+        let usual = |q: f64| match sorted.len() < NODE_SAMPLES {
             true => 0.4 * q * shortest,
-            false => quantile(self.fleet.iter().copied(), q).unwrap_or_default(),
+            false => sorted[(sorted.len() as f64 * q) as usize],
         };
         let least = self.site.tick;
         (self.median, self.nearly_all) = (usual(0.5).max(least), usual(0.95).max(least));
@@ -758,7 +794,6 @@
         let now = self.now;
         let Some(node) = self.nodes[id].as_mut() else { return };
         node.ghosts.retain(|until| *until > now);
-        node.sent_cold.retain(|t| *t > now - self.site.cold.warm_after);
         if let Some(aside) = &mut node.aside {
             if node.outs.iter().any(|o| o.at >= aside.again && now - o.at > silence) {
                 *aside = Aside::rest(now, self.nearly_all);
@@ -773,6 +808,11 @@
             _ => return,
         };
         node.aside = Some(Aside::rest(now, self.nearly_all));
+        for out in &node.outs {
+            if let Some(held) = self.scans.get_mut(&out.scan) {
+                held.due = now;
+            }
+        }
         host.log(&format!("node {id} is set aside: {why}"));
     }
 
