--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -136,7 +136,7 @@
         let mut town = Town::new(Deployment { seed, brokers: 40.0, ..site() });
         town.traffic(FULL, 3.0, 0.5);
         town.list(false, &[row(0, Standing::Active, 103.0)]);
-        town.traffic(FULL, 3.0, 0.1);
+        town.traffic(FULL, 2.0, 0.02);
         times.extend(town.host.sent.iter().filter(|s| s.node == 0 && s.at >= 103.0).map(|s| s.at));
     }
     let most = times.iter().map(|t| times.iter().filter(|u| **u >= *t && **u < t + 1.0).count()).max();
