Take no allowance for scatter at cold nodes beyond each broker's own turn

Each broker counts on what it sees warm nodes complete, which is half to three quarters of what they can do, and the rule allows a multiple of it: room enough for chance.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -638,7 +638,7 @@
     /// at least one part after the other, whose times are shared out evenly.
     ///
     /// Where less than one part is ours, it depends on chance how many brokers send in the same span: each
-    /// waits for a turn of its own from when it was told, and takes less by the usual scatter of all of them.
+    /// waits for a turn of its own from when it was told.
     fn has_cold_room(&self, node: &Node) -> bool {
         let warmth = node.warmth(&self.site, self.now);
         if warmth >= 1.0 {
@@ -650,8 +650,7 @@
         if room >= 1.0 {
             return node.sent_cold.iter().filter(|t| **t > self.now - cold.span).count() as f64 + 1.0 <= room;
         }
-        let all = ((0.25 + room * brokers).sqrt() - 0.5).powi(2);
-        let turn = cold.span * brokers / all;
+        let turn = cold.span / room;
         let last = node.sent_cold.back().map_or(node.told - (1.0 - node.phase.unwrap_or(1.0)) * turn, |t| *t);
         self.now - last >= turn
     }
