Weigh a holder by its last fresh samples, however few, withdrawn and failed ones too

Nearly all is also held to three times the median, as slow nodes otherwise hide in what is usual. Change: the weight of outstanding parts takes whatever samples are fresh (eight of the longest target time), the median as one more, dispatches withdrawn late by the time they had taken, faults as nearly all. Also covers: fast failures, swallowed parts, bad links of single nodes. Harm: a node is avoided for a while for one costly part; as others hold parts too, it is asked again.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -92,7 +92,7 @@
 struct Sample {
     sent: f64,
     took: f64,
-    end: End,
+    fault: bool,
 }
 
 /// A node that gave nothing, or faults, and that new work keeps away from, but for a trickle.
@@ -142,6 +142,8 @@
     /// a burst asks thousands of times in one call.
     median: f64,
     nearly_all: f64,
+    /// For how long what is known of a node tells anything of it.
+    fresh: f64,
     /// What warm nodes are seen to complete for us each second.
     seen: f64,
 }
@@ -150,12 +152,6 @@
     matches!(end, Some(End::Full | End::NoConnection | End::NotSent))
 }
 
-fn quantile(samples: impl Iterator<Item = f64>, q: f64) -> Option<f64> {
-    let mut sorted: Vec<f64> = samples.collect();
-    sorted.sort_by(f64::total_cmp);
-    sorted.get(((sorted.len() as f64 * q) as usize).min(sorted.len().saturating_sub(1))).copied()
-}
-
 fn keep_last<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
     samples.push_back(sample);
     if samples.len() > most {
@@ -226,6 +222,7 @@
             median: 0.0,
             nearly_all: 0.0,
             seen: 0.0,
+            fresh: 8.0 * site.table_types.iter().map(|t| t.target).fold(0.0, f64::max),
             site,
         };
         broker.measure();
@@ -624,11 +621,12 @@
     /// has mended is found out once the others hold as many times more.
     fn load(&self, id: NodeId) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
-        let usual = match node.samples.len() < NODE_SAMPLES / 2 {
-            true => self.median,
-            false => quantile(node.samples.iter().map(|s| s.took), 0.5).unwrap_or_default(),
-        };
-        (node.outstanding() + 1.0) * (usual / self.median).max(1.0) / node.warmth(&self.site, self.now)
+        let fresh = node.samples.iter().filter(|s| s.sent > self.now - self.fresh);
+        let (took, count) = fresh.fold((self.median, 1.0), |(sum, n), s| {
+            (sum + s.took.max(if s.fault { self.nearly_all } else { 0.0 }), n + 1.0)
+        });
+        let slower = (took / count / self.median).max(1.0);
+        (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
 
     /// Our part of what a cold node can take is not used up: a budget over any stated span. A warm node is
@@ -742,7 +740,8 @@
             false => sorted[(sorted.len() as f64 * q) as usize],
         };
         let least = self.site.tick;
-        (self.median, self.nearly_all) = (usual(0.5).max(least), usual(0.95).max(least));
+        let median = usual(0.5).max(least);
+        (self.median, self.nearly_all) = (median, usual(0.95).clamp(median, 3.0 * median));
     }
 
     fn trial(&self, node: &Node, aside: &Aside) -> bool {
@@ -762,7 +761,15 @@
                 let overtaken = node.samples.iter().filter(|s| s.sent > out.at).count() >= OVERTAKEN;
                 if !overtaken || took < SILENT * nearly_all {
                     // Whether the node still works on it is told nowhere.
-                    return node.ghosts.push(out.at + median);
+                    node.ghosts.push(out.at + median);
+                    if took > SLOW * median {
+                        keep_last(
+                            &mut node.samples,
+                            Sample { sent: out.at, took, fault: false },
+                            NODE_SAMPLES,
+                        );
+                    }
+                    return;
                 }
             }
             // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
@@ -784,7 +791,11 @@
         if ended.end == End::Completed && warmth >= 1.0 {
             keep_last(&mut self.fleet, (took, self.now), FLEET_SAMPLES);
         }
-        keep_last(&mut node.samples, Sample { sent: out.at, took, end: ended.end }, NODE_SAMPLES);
+        keep_last(
+            &mut node.samples,
+            Sample { sent: out.at, took, fault: ended.end != End::Completed },
+            NODE_SAMPLES,
+        );
         if let Some(aside) = &mut node.aside {
             if ended.end == End::Completed && took <= SLOW * median {
                 aside.room *= 2;
@@ -814,7 +825,7 @@
             return;
         }
         let silent = node.silent(now) * node.warmth(&self.site, now) > silence;
-        let faults = node.samples.iter().filter(|s| s.end != End::Completed).count() >= FAULTS;
+        let faults = node.samples.iter().filter(|s| s.fault).count() >= FAULTS;
         let why = match (silent, faults) {
             (true, _) => "it is silent",
             (_, true) => "it fails what it is given",
