Tell the wait ahead by what a holder's last parts took, not by our oldest alone

Change: the wait at a holder is the longer of our oldest there and what its fresh samples (with the fleet's median as one more) took beyond the least median seen, which is how long parts take at ease. What a node did before it was set aside does not count at its trial. Harm: a broker that has only met a slow fleet takes it for ease.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -142,6 +142,8 @@
     /// a burst asks thousands of times in one call.
     median: f64,
     nearly_all: f64,
+    /// The least that the median has been: what dispatches take at ease.
+    ease: f64,
     /// For how long what is known of a node tells anything of it.
     fresh: f64,
     /// What warm nodes are seen to complete for us each second.
@@ -222,6 +224,7 @@
             median: 0.0,
             nearly_all: 0.0,
             seen: 0.0,
+            ease: f64::MAX,
             fresh: 8.0 * site.table_types.iter().map(|t| t.target).fold(0.0, f64::max),
             site,
         };
@@ -275,6 +278,7 @@
     pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
         self.hear(host);
         self.take(1.0 + scan.parts.len() as f64);
+        self.measure();
         let kind = &self.site.table_types[scan.table_type];
         // A further try has used up part of its client's time. How much shows only once it is given less
         // than that customer's first tries, which some clients keep short.
@@ -400,8 +404,11 @@
             self.holders(seg).map(|h| h.1).filter(|n| n.aside.as_ref().is_none_or(|a| self.trial(n, a)));
         let waits = trusted.map(|n| match n.outs.first() {
             _ if self.full(n) => f64::MAX,
-            None => 0.0,
-            Some(oldest) => self.now - oldest.at,
+            oldest => {
+                // What it did before it was set aside says nothing of its trial.
+                let lately = if n.aside.is_some() { 0.0 } else { self.usual(n) - self.ease };
+                oldest.map_or(0.0, |o| self.now - o.at).max(lately)
+            }
         });
         waits.min_by(f64::total_cmp).unwrap_or(f64::MAX)
     }
@@ -621,12 +628,17 @@
     /// has mended is found out once the others hold as many times more.
     fn load(&self, id: NodeId) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
+        let slower = (self.usual(node) / self.median).max(1.0);
+        (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
+    }
+
+    /// What dispatches to this node take.
+    fn usual(&self, node: &Node) -> f64 {
         let fresh = node.samples.iter().filter(|s| s.sent > self.now - self.fresh);
         let (took, count) = fresh.fold((self.median, 1.0), |(sum, n), s| {
             (sum + s.took.max(if s.fault { self.nearly_all } else { 0.0 }), n + 1.0)
         });
-        let slower = (took / count / self.median).max(1.0);
-        (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
+        took / count
     }
 
     /// Our part of what a cold node can take is not used up: a budget over any stated span. A warm node is
@@ -733,7 +745,8 @@
     /// shortest target time.
     fn measure(&mut self) {
         let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
-        let mut sorted: Vec<f64> = self.fleet.iter().map(|f| f.0).collect();
+        let mut sorted: Vec<f64> =
+            self.fleet.iter().filter(|f| f.1 > self.now - 0.5 * self.fresh).map(|f| f.0).collect();
         sorted.sort_unstable_by(f64::total_cmp);
         let usual = |q: f64| match sorted.len() < NODE_SAMPLES {
             true => 0.4 * q * shortest,
@@ -741,6 +754,9 @@
         };
         let least = self.site.tick;
         let median = usual(0.5).max(least);
+        if sorted.len() >= FLEET_SAMPLES / 2 {
+            self.ease = self.ease.min(median);
+        }
         (self.median, self.nearly_all) = (median, usual(0.95).clamp(median, 3.0 * median));
     }
 
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -290,6 +290,40 @@
     assert!(town.to_node(2, start) * 3 < town.to_node(4, start));
 }
 
+#[test]
+fn one_slow_part_is_enough_to_ask_another_holder() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.1);
+    town.host.nodes[2] = Some((End::Completed, 0.7));
+    (0..9).for_each(|_| {
+        town.scan(FULL, &[2]);
+        town.run(0.8);
+    });
+    let start = town.host.now;
+    (0..9).for_each(|_| {
+        town.scan(FULL, &[2]);
+        town.run(0.8);
+    });
+    assert_eq!(town.to_node(2, start), 0);
+}
+
+#[test]
+fn a_part_withdrawn_late_tells_of_a_slow_node_too() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.1);
+    town.host.nodes[2] = Some((End::Completed, 1.9));
+    (0..3).for_each(|_| {
+        town.scan(FULL, &[2]);
+        town.run(1.1);
+    });
+    let start = town.host.now;
+    (0..6).for_each(|_| {
+        town.scan(FULL, &[2]);
+        town.run(1.1);
+    });
+    assert!(town.to_node(2, start) <= 1);
+}
+
 #[test]
 fn what_cannot_be_asked_again_goes_where_health_is_proven() {
     let mut town = Town::new(Deployment { holders: 2, ..site() });
@@ -434,6 +468,24 @@
     assert!(others.iter().all(|s| town.finals(*s).is_empty()));
 }
 
+#[test]
+fn a_fleet_slow_altogether_presses_even_where_we_hold_little_and_not_for_longer() {
+    let mut town = Town::new(site());
+    let pace = |town: &mut Town, took: f64, seconds: f64| {
+        town.host.nodes = vec![Some((End::Completed, took)); 6];
+        town.traffic(PATIENT, seconds, 0.15);
+        town.run(2.0);
+    };
+    [0.2, 0.5, 1.0, 1.8].into_iter().for_each(|took| pace(&mut town, took, 16.0));
+    let away = |town: &mut Town| {
+        let scans: Vec<_> = (0..12).map(|turn| town.scan(FULL, &[turn % 6])).collect();
+        scans.iter().filter(|s| !town.finals(**s).is_empty()).count()
+    };
+    assert!(away(&mut town) >= 10);
+    town.run(200.0);
+    assert_eq!(away(&mut town), 0);
+}
+
 #[test]
 fn a_dead_node_is_no_overload_but_a_block_with_no_other_is_turned_away() {
     let mut town = Town::new(site());
