Judge what comes too late by the scan's own holders and shorter memories

Change: what is likely too late is the wait at the scan's own holders and one and a half times what parts take at ease; waits go by the samples of two target times.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -406,7 +406,8 @@
             _ if self.full(n) => f64::MAX,
             oldest => {
                 // What it did before it was set aside says nothing of its trial.
-                let lately = if n.aside.is_some() { 0.0 } else { self.usual(n) - self.ease };
+                let lately =
+                    if n.aside.is_some() { 0.0 } else { self.usual(n, 0.25 * self.fresh) - self.ease };
                 oldest.map_or(0.0, |o| self.now - o.at).max(lately)
             }
         });
@@ -445,7 +446,9 @@
         }
         held.admitted = true;
         let kind = &self.site.table_types[held.table_type];
-        let likely = self.now + 0.5 * (self.median + self.nearly_all);
+        let steps = if kind.second_step { TWO_STEPS } else { 1.0 };
+        let ahead = steps * self.wait_ahead(held);
+        let likely = self.now + ahead + 1.5 * self.ease.min(self.median);
         let late = likely > held.target_at;
         // Its client will not wait for what it asks, or not for anything of worth: sent all the same it would
         // only take the nodes from the others, once for each of the many tries of such a client.
@@ -459,8 +462,7 @@
         keep_last(&mut self.density, density, FLEET_SAMPLES);
         let below = |d: &f64| 0.5 * (f64::from(*d < density) + f64::from(*d <= density));
         let rank = self.density.iter().map(below).sum::<f64>() / self.density.len() as f64;
-        let steps = if kind.second_step { TWO_STEPS } else { 1.0 };
-        let level = (steps * self.wait_ahead(held) / horizon - PRESSED) / (CRUSHED - PRESSED);
+        let level = (ahead / horizon - PRESSED) / (CRUSHED - PRESSED);
         let chance: f64 = self.rng.random();
         let inside = self.inside_share(held.customer);
         if level > 0.0 && (!inside || late || 0.5 * (rank + chance) < level) {
@@ -628,13 +630,13 @@
     /// has mended is found out once the others hold as many times more.
     fn load(&self, id: NodeId) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
-        let slower = (self.usual(node) / self.median).max(1.0);
+        let slower = (self.usual(node, self.fresh) / self.median).max(1.0);
         (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
 
     /// What dispatches to this node take.
-    fn usual(&self, node: &Node) -> f64 {
-        let fresh = node.samples.iter().filter(|s| s.sent > self.now - self.fresh);
+    fn usual(&self, node: &Node, lately: f64) -> f64 {
+        let fresh = node.samples.iter().filter(|s| s.sent + s.took > self.now - lately);
         let (took, count) = fresh.fold((self.median, 1.0), |(sum, n), s| {
             (sum + s.took.max(if s.fault { self.nearly_all } else { 0.0 }), n + 1.0)
         });
@@ -746,7 +748,7 @@
     fn measure(&mut self) {
         let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
         let mut sorted: Vec<f64> =
-            self.fleet.iter().filter(|f| f.1 > self.now - 0.5 * self.fresh).map(|f| f.0).collect();
+            self.fleet.iter().filter(|f| f.1 > self.now - 0.25 * self.fresh).map(|f| f.0).collect();
         sorted.sort_unstable_by(f64::total_cmp);
         let usual = |q: f64| match sorted.len() < NODE_SAMPLES {
             true => 0.4 * q * shortest,
