--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -680,7 +680,7 @@
         let kind = &self.site.table_types[held.table_type];
         let need = self.need(held);
         let target = kind.target;
-        let overdue = (1.25 * self.nearly_all).max(0.4 * target);
+        let overdue = (1.25 * self.nearly_all.min(3.0 * self.median)).max(0.4 * target);
         let replayable = kind.repeat == Repeat::Replayable;
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| !b.hopeless(s, overdue));
         let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
@@ -759,7 +759,7 @@
         if sorted.len() >= FLEET_SAMPLES / 2 {
             self.ease = self.ease.min(median);
         }
-        (self.median, self.nearly_all) = (median, usual(0.95).clamp(median, 3.0 * median));
+        (self.median, self.nearly_all) = (median, usual(0.95).max(median));
     }
 
     fn trial(&self, node: &Node, aside: &Aside) -> bool {
