Where holders differ and are met too seldom, send a part to the first that answers a probe

The reports are no help: by the tap, slow nodes said 0.6 of a request a second and 5 held while their dispatches took 2 s. Change: when nearly all dispatches take over four times what is usual at ease, and less than one completion of a node is seen in two target times, a new scan's holders are probed, and each part goes to the first that answers; after the time usual at ease the rest goes as ever. Not in a burst, and not where probes answer at once from everywhere. Also covers: hung and cut-off holders, seen before a part is risked.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -10,7 +10,7 @@
 //! way: health first, then the scan that waits for it. Why each departure from the plain (n, k) fork-join
 //! read is there, and when it acts, is told in docs/design.md.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -35,6 +35,10 @@
 /// Oldest wait, as a share of the target time, from which scans are turned away, and at which all are.
 const PRESSED: f64 = 0.25;
 const CRUSHED: f64 = 0.65;
+/// Nearly all dispatches take longer than this multiple of what is usual at ease: holders differ.
+const DOUBT: f64 = 4.0;
+/// Ticks within which a probe that waits for nothing is answered.
+const PROMPT: f64 = 4.0;
 /// Ticks by which a wake may be late before we take it that we stood still.
 const STOOD_STILL: f64 = 10.0;
 /// A second step waits again, mostly for lighter parts.
@@ -80,6 +84,8 @@
     /// Where the pieces of the present step begin.
     step_from: usize,
     second: bool,
+    /// When its holders were probed.
+    asked: Option<f64>,
 }
 
 struct Out {
@@ -110,6 +116,8 @@
     heard: f64,
     /// When it last turned a part away as full.
     refused: f64,
+    /// When it last answered a probe.
+    replied: f64,
     outs: Vec<Out>,
     /// When the node should be through with dispatches that we no longer wait for.
     ghosts: Vec<f64>,
@@ -137,6 +145,8 @@
     taken: VecDeque<(f64, f64)>,
     taken_sum: f64,
     again: VecDeque<f64>,
+    /// When the last probes ended, and whether with more than a sign of life.
+    probes: VecDeque<(f64, bool)>,
     wake_due: f64,
     /// What dispatches take at the median and nearly all of them: worked out once for all that ask, since
     /// a burst asks thousands of times in one call.
@@ -220,6 +230,7 @@
             taken: VecDeque::new(),
             taken_sum: 0.0,
             again: VecDeque::new(),
+            probes: VecDeque::new(),
             wake_due: f64::MAX,
             median: 0.0,
             nearly_all: 0.0,
@@ -254,6 +265,7 @@
                 phase: None,
                 heard: f64::MIN,
                 refused: f64::MIN,
+                replied: f64::MIN,
                 outs: Vec::new(),
                 ghosts: Vec::new(),
                 samples: VecDeque::new(),
@@ -300,6 +312,7 @@
             pieces: Vec::new(),
             step_from: 0,
             second: false,
+            asked: None,
         };
         self.enter(host, held, scan.parts);
         self.arm(host);
@@ -310,6 +323,7 @@
         self.take(parts.len() as f64);
         if let Some(mut held) = self.scans.remove(&scan) {
             held.second = true;
+            held.asked = None;
             self.enter(host, held, parts);
         }
     }
@@ -321,6 +335,19 @@
         }
     }
 
+    /// A probe has ended: answered after so long, or not at all.
+    pub fn probed(&mut self, host: &mut dyn Host, node: NodeId, answered: Option<f64>) {
+        self.hear(host);
+        let telling = answered.is_none_or(|took| took > PROMPT * self.site.tick);
+        keep_last(&mut self.probes, (self.now, telling), FLEET_SAMPLES);
+        let Some(n) = self.nodes.get_mut(node).and_then(Option::as_mut) else { return };
+        if answered.is_some() {
+            n.replied = self.now;
+            let waiting = self.scans.values().filter(|h| self.asking(h)).map(|h| h.id).collect::<Vec<_>>();
+            waiting.into_iter().for_each(|id| self.pass(host, id));
+        }
+    }
+
     pub fn client_left(&mut self, host: &mut dyn Host, scan: ScanId) {
         self.hear(host);
         if let Some(held) = self.scans.remove(&scan) {
@@ -569,9 +596,17 @@
     // ---- fork
 
     fn fork(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
+        if held.asked.is_none() && self.in_doubt() {
+            held.asked = Some(self.now);
+            let segs = held.step().iter().map(|p| p.seg);
+            let holders = segs.flat_map(|seg| self.holders(seg)).filter(|(_, n)| n.aside.is_none());
+            let ids: BTreeSet<NodeId> = holders.map(|h| h.0).collect();
+            ids.into_iter().for_each(|id| host.probe(id));
+        }
+        let since = held.asked.filter(|_| self.asking(held)).unwrap_or(f64::MIN);
         for part in held.step_from..held.pieces.len() {
             if held.pieces[part].shots.is_empty()
-                && let Some(node) = self.place(held, part, true)
+                && let Some(node) = self.place(held, part, since)
             {
                 self.dispatch(host, held, part, node);
             }
@@ -579,6 +614,24 @@
         Pass::On
     }
 
+    /// Holders differ far more than at ease, and we meet each too seldom to tell them apart by what we have
+    /// out there. A burst is not to be multiplied by probes, and probes that nearly all nodes answer at once
+    /// see no queue and tell nothing.
+    fn in_doubt(&self) -> bool {
+        let lately = self.probes.iter().filter(|p| p.0 > self.now - self.fresh);
+        let (asked, told) = lately.fold((0, 0), |(n, told), p| (n + 1, told + usize::from(p.1)));
+        self.site.may_probe
+            && self.nearly_all > DOUBT * self.ease
+            && self.seen * 0.25 * self.fresh < 1.0
+            && self.scans.len() < FLEET_SAMPLES
+            && (asked < NODE_SAMPLES || told * NODE_SAMPLES > asked)
+    }
+
+    /// Its parts wait for the first of their holders that answers a probe.
+    fn asking(&self, held: &Held) -> bool {
+        held.asked.is_some_and(|at| self.now - at < self.ease)
+    }
+
     fn dispatch(&mut self, host: &mut dyn Host, held: &mut Held, part: usize, node: NodeId) {
         host.dispatch(held.id, part, node);
         let shots = &mut held.pieces[part].shots;
@@ -595,13 +648,17 @@
     }
 
     /// The lightest of two sampled holders, among the best sort of holders there is.
-    fn place(&mut self, held: &Held, part: usize, last_resort: bool) -> Option<NodeId> {
+    fn place(&mut self, held: &Held, part: usize, since: f64) -> Option<NodeId> {
         let piece = &held.pieces[part];
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
         let mut fit = Vec::new();
         let mut doubtful = Vec::new();
         for (id, node) in self.holders(piece.seg) {
-            if piece.shots.iter().any(|s| s.node == id) || !self.has_cold_room(node) || self.full(node) {
+            if piece.shots.iter().any(|s| s.node == id)
+                || node.replied < since
+                || !self.has_cold_room(node)
+                || self.full(node)
+            {
                 continue;
             }
             match &node.aside {
@@ -613,6 +670,7 @@
                 Some(_) => doubtful.push(id),
             }
         }
+        let last_resort = piece.out().next().is_none();
         let among = if fit.is_empty() && last_resort { doubtful } else { fit };
         match among.len() {
             0 => None,
@@ -705,7 +763,7 @@
             {
                 continue;
             }
-            if let Some(node) = self.place(held, part, out == 0) {
+            if let Some(node) = self.place(held, part, f64::MIN) {
                 if self.site.budget.is_some() {
                     self.again.push_back(self.now);
                 }
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -22,6 +22,8 @@
     fn dispatch(&mut self, scan: ScanId, part: usize, node: NodeId);
     /// Stops waiting for one dispatch; its end is still reported.
     fn cancel(&mut self, scan: ScanId, part: usize, shot: usize);
+    /// Asks a node for a sign of life and room; its end comes back as [`Broker::probed`].
+    fn probe(&mut self, node: NodeId);
     /// Answers from the parts that are in; for a scan with a second step, the first call asks for
     /// that step's parts.
     fn answer(&mut self, scan: ScanId, whole: bool);
@@ -96,6 +98,7 @@
     pub dispatch_cap: usize,
     pub second_copies: bool,
     pub may_cancel: bool,
+    pub may_probe: bool,
     /// Longest wait that a throttling reply may name; 0 where it may name none.
     pub longest_wait: f64,
     pub budget: Option<FurtherBudget>,
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -22,6 +22,7 @@
     pub sent: Vec<Sent>,
     pub finals: Vec<(f64, ScanId, Final)>,
     pub cancelled: Vec<(ScanId, usize, usize)>,
+    pub probed: Vec<NodeId>,
     pub log: Vec<String>,
     /// How each node ends what it is sent, and after how long; a node that is not here is silent.
     pub nodes: Vec<Option<(End, f64)>>,
@@ -51,6 +52,9 @@
         self.due.retain(|(_, e)| (e.scan, e.part, e.shot) != (scan, part, shot));
         self.due.push((self.now, Ended { scan, part, shot, node, end: End::Cancelled, took }));
     }
+    fn probe(&mut self, node: NodeId) {
+        self.probed.push(node);
+    }
     fn answer(&mut self, scan: ScanId, whole: bool) {
         self.finals.push((self.now, scan, Final::Answer { whole }));
     }
@@ -107,6 +111,7 @@
         dispatch_cap: 4,
         second_copies: true,
         may_cancel: true,
+        may_probe: false,
         longest_wait: 2.0,
         budget: None,
         cold: ColdRule { from: 0.2, warm_after: 15.0, multiple: 2.5, span: 1.0 },
--- a/crates/dunepond-simhost/src/desk.rs
+++ b/crates/dunepond-simhost/src/desk.rs
@@ -83,6 +83,10 @@
         }
     }
 
+    fn probe(&mut self, node: NodeId) {
+        self.orders.push(json!({"what": "sample", "node": self.nodes[node]}));
+    }
+
     fn answer(&mut self, scan: ScanId, whole: bool) {
         if let Some(named) = self.scans.get(&scan) {
             self.orders.push(json!({"what": "conclude", "xid": named.xid, "on": whole}));
@@ -149,8 +153,14 @@
                     self.broker.client_left(&mut self.desk, scan);
                 }
             }
+            "pingResult" => {
+                let node = self.desk.node(event.text("node")?);
+                let good = event.text("outcome")? == "GOOD";
+                let took = event.number_or("delaySeenMs", 0.0)? / 1000.0;
+                self.broker.probed(&mut self.desk, node, good.then_some(took));
+            }
             // Known, and nothing the decisions go by here.
-            "pingResult" | "underWay" | "fromPeer" => {}
+            "underWay" | "fromPeer" => {}
             other => eprintln!("dunepond-simhost: {other}: unknown kind of event, skipped"),
         }
         Ok(())
--- a/crates/dunepond-simhost/src/read.rs
+++ b/crates/dunepond-simhost/src/read.rs
@@ -180,6 +180,7 @@
         dispatch_cap: params.count("ceilings.attemptsCap")? as usize,
         second_copies: params.mark("ceilings.secondCopies")?,
         may_cancel: params.mark("ceilings.cancel")?,
+        may_probe: params.mark("ceilings.mayProbe")?,
         longest_wait,
         budget,
         cold: ColdRule {
