Know what is usual at ease from sixteen samples on

Brokers of little traffic never had the 32 samples of two target times that were asked for, so neither the wait ahead nor the doubt was known to them.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -814,7 +814,7 @@
         };
         let least = self.site.tick;
         let median = usual(0.5).max(least);
-        if sorted.len() >= FLEET_SAMPLES / 2 {
+        if sorted.len() >= 2 * NODE_SAMPLES {
             self.ease = self.ease.min(median);
         }
         (self.median, self.nearly_all) = (median, usual(0.95).max(median));
