Turn away a scan when too few of its holders answer their probes

Cause: in doubt a scan whose probes nobody answered went out blindly after all, into holders that are full. Change: once the time usual at ease is over, it goes on only if three quarters of the parts it needs have been placed. Also covers: hung and cut-off holders. Harm: a site whose probes are slow for reasons of their own loses scans.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -37,6 +37,8 @@
 const CRUSHED: f64 = 0.65;
 /// Nearly all dispatches take longer than this multiple of what is usual at ease: holders differ.
 const DOUBT: f64 = 4.0;
+/// The share of the needed parts for which a probed holder must answer in time.
+const FREE: f64 = 0.75;
 /// Ticks within which a probe that waits for nothing is answered.
 const PROMPT: f64 = 4.0;
 /// Ticks by which a wake may be late before we take it that we stood still.
@@ -603,6 +605,14 @@
             let ids: BTreeSet<NodeId> = holders.map(|h| h.0).collect();
             ids.into_iter().for_each(|id| host.probe(id));
         }
+        if held.asked.is_some_and(|at| at > f64::MIN) && !self.asking(held) {
+            held.asked = Some(f64::MIN);
+            // Too few of its holders are free at this very moment; sent all the same it would be late, and the
+            // next ones too.
+            if held.weight(|p| !p.shots.is_empty()) < FREE * self.need(held) {
+                return self.give_up(host, held);
+            }
+        }
         let since = held.asked.filter(|_| self.asking(held)).unwrap_or(f64::MIN);
         for part in held.step_from..held.pieces.len() {
             if held.pieces[part].shots.is_empty()
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -486,6 +486,67 @@
     assert_eq!(away(&mut town), 0);
 }
 
+/// Sixty nodes, each met once in a few seconds; a third of them have become slow.
+fn doubtful(gap: f64) -> Town {
+    let plain = site();
+    let kinds = plain.table_types[..KEYED].to_vec();
+    let mut town = Town::new(Deployment { cells: 60, table_types: kinds, may_probe: true, ..plain });
+    town.list(true, &(0..60).map(|n| row(n, Standing::Active, 0.0)).collect::<Vec<_>>());
+    for (slow, turns) in [(0.2, 50), (0.95, 25)] {
+        town.host.nodes =
+            (0..60).map(|n| Some((End::Completed, if n % 3 == 0 { slow } else { 0.2 }))).collect();
+        (0..turns).for_each(|turn| {
+            town.scan(FIX, &[turn * 7 % 60]);
+            town.run(gap);
+        });
+    }
+    town.host.probed.clear();
+    town
+}
+
+#[test]
+fn a_part_waits_for_the_first_holder_that_answers_a_probe_where_nothing_else_tells() {
+    let mut town = doubtful(0.1);
+    let scan = town.scan(FULL, &[10]);
+    assert_eq!(town.host.probed, [10, 11, 12]);
+    assert!(town.sent(scan).is_empty());
+    town.broker.probed(&mut town.host, 12, Some(0.1));
+    assert_eq!(town.sent(scan)[0].node, 12);
+}
+
+#[test]
+fn a_scan_whose_holders_leave_its_probes_unanswered_is_turned_away() {
+    let mut town = doubtful(0.1);
+    let scan = town.scan(FULL, &[10, 11, 12, 13]);
+    town.broker.probed(&mut town.host, 10, Some(0.1));
+    town.run(0.5);
+    assert!(matches!(town.finals(scan)[..], [Final::Throttle { .. }]));
+}
+
+#[rstest]
+#[case::a_queue_shows(0.1, true)]
+#[case::a_sign_of_life_only(0.004, false)]
+fn probes_that_tell_nothing_are_given_up(#[case] took: f64, #[case] goes_on: bool) {
+    let mut town = doubtful(0.1);
+    (0..10).for_each(|node| town.broker.probed(&mut town.host, node, Some(took)));
+    town.scan(FULL, &[10]);
+    assert_eq!(!town.host.probed.is_empty(), goes_on);
+}
+
+#[test]
+fn a_broker_that_meets_its_holders_often_needs_no_probes() {
+    let mut town = doubtful(0.02);
+    town.scan(FULL, &[10]);
+    assert!(town.host.probed.is_empty());
+}
+
+#[test]
+fn no_probes_are_made_at_ease() {
+    let mut town = Town::new(Deployment { may_probe: true, ..site() });
+    town.traffic(FULL, 6.0, 0.05);
+    assert!(town.host.probed.is_empty());
+}
+
 #[test]
 fn a_dead_node_is_no_overload_but_a_block_with_no_other_is_turned_away() {
     let mut town = Town::new(site());
