Take a node not met lately to be as slow as its zone

Evidence that the nodes are sound: all of one zone are slow for this broker at once, and the brokers of other zones are served by them as ever. Change: the prior of a node's weight and wait is the median of the last sixteen dispatches to its zone where that is over 2.5 times the fleet's median. Also covers: a cut zone, nodes bad for some brokers only by zone. Harm: a zone whose few nodes met are slow for their own reasons is avoided for eight target times, where another holder is.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -110,6 +110,7 @@
 }
 
 struct Node {
+    zone: usize,
     standing: Standing,
     started: f64,
     /// When we were told of its start, and how much of a turn we let pass before our own first.
@@ -136,6 +137,10 @@
     /// Nodes by cell: only a segment's holders are looked at, or each part would cost more in a larger fleet.
     cells: Vec<Vec<NodeId>>,
     scans: BTreeMap<ScanId, Held>,
+    /// How long the last dispatches to each zone took, and when each was over.
+    zones: Vec<VecDeque<(f64, f64)>>,
+    /// What dispatches to each zone take.
+    zone_usual: Vec<f64>,
     /// How long the last completed dispatches at warm nodes took, and when each was in.
     fleet: VecDeque<(f64, f64)>,
     /// Benefit for the work of the last scans that came.
@@ -225,6 +230,8 @@
             nodes: Vec::new(),
             cells: vec![Vec::new(); site.cells],
             scans: BTreeMap::new(),
+            zones: Vec::new(),
+            zone_usual: Vec::new(),
             fleet: VecDeque::new(),
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
@@ -257,10 +264,14 @@
                 self.nodes.resize_with(row.node + 1, || None);
             }
             let cells = self.cells.len();
+            if self.zones.len() <= row.zone {
+                self.zones.resize_with(row.zone + 1, VecDeque::new);
+            }
             if self.nodes[row.node].is_none() {
                 self.cells[row.cell % cells].push(row.node);
             }
             let node = self.nodes[row.node].get_or_insert_with(|| Node {
+                zone: row.zone,
                 standing: row.standing,
                 started: row.started,
                 told: self.now,
@@ -705,7 +716,8 @@
     /// What dispatches to this node take.
     fn usual(&self, node: &Node, lately: f64) -> f64 {
         let fresh = node.samples.iter().filter(|s| s.sent + s.took > self.now - lately);
-        let (took, count) = fresh.fold((self.median, 1.0), |(sum, n), s| {
+        let zone = self.zone_usual.get(node.zone).copied().unwrap_or(self.median);
+        let (took, count) = fresh.fold((zone, 1.0), |(sum, n), s| {
             (sum + s.took.max(if s.fault { self.nearly_all } else { 0.0 }), n + 1.0)
         });
         took / count
@@ -828,6 +840,13 @@
             self.ease = self.ease.min(median);
         }
         (self.median, self.nearly_all) = (median, usual(0.95).max(median));
+        let zones = self.zones.iter().map(|zone| {
+            let mut took: Vec<_> = zone.iter().filter(|z| z.1 > self.now - self.fresh).map(|z| z.0).collect();
+            took.sort_unstable_by(f64::total_cmp);
+            let usual = took.get(took.len() / 2).copied().filter(|_| took.len() >= NODE_SAMPLES / 2);
+            usual.filter(|usual| *usual > SLOW * median).unwrap_or(median)
+        });
+        self.zone_usual = zones.collect();
     }
 
     fn trial(&self, node: &Node, aside: &Aside) -> bool {
@@ -854,6 +873,7 @@
                             Sample { sent: out.at, took, fault: false },
                             NODE_SAMPLES,
                         );
+                        keep_last(&mut self.zones[node.zone], (took, self.now), 2 * NODE_SAMPLES);
                     }
                     return;
                 }
@@ -882,6 +902,7 @@
             Sample { sent: out.at, took, fault: ended.end != End::Completed },
             NODE_SAMPLES,
         );
+        keep_last(&mut self.zones[node.zone], (took, self.now), 2 * NODE_SAMPLES);
         if let Some(aside) = &mut node.aside {
             if ended.end == End::Completed && took <= SLOW * median {
                 aside.room *= 2;
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -119,6 +119,7 @@
 pub struct Listed {
     pub node: NodeId,
     pub cell: usize,
+    pub zone: usize,
     pub standing: Standing,
     /// When its process last started, on the host's clock; 0 if long ago.
     pub started: f64,
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -224,5 +224,5 @@
 }
 
 pub fn row(node: NodeId, standing: Standing, started: f64) -> Listed {
-    Listed { node, cell: node, standing, started }
+    Listed { node, cell: node, zone: node % 3, standing, started }
 }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -324,6 +324,27 @@
     assert!(town.to_node(2, start) <= 1);
 }
 
+#[test]
+fn a_bad_way_to_a_zone_is_told_by_few_of_its_nodes() {
+    let mut town = Town::new(Deployment { cells: 60, ..site() });
+    town.list(true, &(0..60).map(|n| row(n, Standing::Active, 0.0)).collect::<Vec<_>>());
+    let ask = |town: &mut Town, far: f64, segs: std::ops::Range<usize>| {
+        town.host.nodes =
+            (0..60).map(|n| Some((End::Completed, if n % 3 == 0 { far } else { 0.2 }))).collect();
+        segs.for_each(|seg| {
+            town.scan(FULL, &[seg]);
+            town.run(0.2);
+        });
+        town.run(1.0);
+    };
+    ask(&mut town, 0.2, 0..16);
+    ask(&mut town, 1.9, 0..28);
+    let start = town.host.now;
+    ask(&mut town, 1.9, 30..57);
+    let far = town.host.sent.iter().filter(|s| s.at >= start && s.node % 3 == 0).count();
+    assert_eq!(far, 0);
+}
+
 #[test]
 fn what_cannot_be_asked_again_goes_where_health_is_proven() {
     let mut town = Town::new(Deployment { holders: 2, ..site() });
@@ -492,10 +513,10 @@
     let kinds = plain.table_types[..KEYED].to_vec();
     let mut town = Town::new(Deployment { cells: 60, table_types: kinds, may_probe: true, ..plain });
     town.list(true, &(0..60).map(|n| row(n, Standing::Active, 0.0)).collect::<Vec<_>>());
-    for (slow, turns) in [(0.2, 50), (0.95, 25)] {
+    for (slow, seconds) in [(0.2, 5.0), (0.95, 2.5)] {
         town.host.nodes =
             (0..60).map(|n| Some((End::Completed, if n % 3 == 0 { slow } else { 0.2 }))).collect();
-        (0..turns).for_each(|turn| {
+        (0..(seconds / gap) as usize).for_each(|turn| {
             town.scan(FIX, &[turn * 7 % 60]);
             town.run(gap);
         });
--- a/crates/dunepond-simhost/src/desk.rs
+++ b/crates/dunepond-simhost/src/desk.rs
@@ -266,6 +266,7 @@
             listed.push(Listed {
                 node: self.desk.node(&row.node),
                 cell: row.cell,
+                zone: row.area,
                 standing: read::standing(&row.mode)?,
                 started: row.ready_at_ms / 1000.0,
             });
--- a/crates/dunepond-simhost/src/read.rs
+++ b/crates/dunepond-simhost/src/read.rs
@@ -20,6 +20,8 @@
     pub node: String,
     #[serde(default)]
     pub cell: usize,
+    #[serde(default)]
+    pub area: usize,
     pub mode: String,
     #[serde(default, rename = "readyAtMs")]
     pub ready_at_ms: f64,
