Close idle connections before use once idle ones were found broken

Evidence that the connection failed and not the node: the reset came within a few ticks, and only where nothing had passed for longer than a dispatch takes; a crash breaks what is out at any time. Change: such a reset is no fault of the node; after two of them, connections idle for more than half of the time seen are given up before the next dispatch. Also covers: any middle box that forgets connections. Harm: a handshake for each dispatch to a node met seldom.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -95,6 +95,8 @@
     part: usize,
     shot: usize,
     at: f64,
+    /// For how long nothing had passed between us and the node when it was sent.
+    idle: f64,
 }
 
 struct Sample {
@@ -117,6 +119,8 @@
     told: f64,
     phase: Option<f64>,
     heard: f64,
+    /// When something was last sent to it or came back.
+    used: f64,
     /// When it last turned a part away as full.
     refused: f64,
     /// When it last answered a probe.
@@ -154,6 +158,8 @@
     again: VecDeque<f64>,
     /// When the last probes ended, and whether with more than a sign of life.
     probes: VecDeque<(f64, bool)>,
+    /// When what was sent after an idle time broke at once, and how long that had been.
+    reaped: VecDeque<(f64, f64)>,
     wake_due: f64,
     /// What dispatches take at the median and nearly all of them: worked out once for all that ask, since
     /// a burst asks thousands of times in one call.
@@ -240,6 +246,7 @@
             taken_sum: 0.0,
             again: VecDeque::new(),
             probes: VecDeque::new(),
+            reaped: VecDeque::new(),
             wake_due: f64::MAX,
             median: 0.0,
             nearly_all: 0.0,
@@ -277,6 +284,7 @@
                 told: self.now,
                 phase: None,
                 heard: f64::MIN,
+                used: f64::MAX,
                 refused: f64::MIN,
                 replied: f64::MIN,
                 outs: Vec::new(),
@@ -654,11 +662,16 @@
     }
 
     fn dispatch(&mut self, host: &mut dyn Host, held: &mut Held, part: usize, node: NodeId) {
+        let idle = self.nodes[node].as_ref().filter(|n| n.outs.is_empty()).map_or(0.0, |n| self.now - n.used);
+        if self.stale(idle) {
+            host.close_idle(node);
+        }
         host.dispatch(held.id, part, node);
         let shots = &mut held.pieces[part].shots;
         shots.push(Shot { node, at: self.now, end: None });
         if let Some(n) = &mut self.nodes[node] {
-            n.outs.push(Out { scan: held.id, part, shot: shots.len() - 1, at: self.now });
+            n.outs.push(Out { scan: held.id, part, shot: shots.len() - 1, at: self.now, idle });
+            n.used = self.now;
             if n.warmth(&self.site, self.now) < 1.0 {
                 n.sent_cold.push_back(self.now);
                 while n.sent_cold.front().is_some_and(|t| *t < self.now - self.site.cold.warm_after) {
@@ -668,6 +681,13 @@
         }
     }
 
+    /// Connections left idle for so long have been found broken, at two dispatches at least: something on the
+    /// way drops them unseen. A new one costs less than a part lost, or one that must not be sent again.
+    fn stale(&self, idle: f64) -> bool {
+        let broke = self.reaped.iter().filter(|r| r.0 > self.now - 2.0 * self.fresh && idle > 0.5 * r.1);
+        broke.count() >= FAULTS
+    }
+
     /// The lightest of two sampled holders, among the best sort of holders there is.
     fn place(&mut self, held: &Held, part: usize, since: f64) -> Option<NodeId> {
         let piece = &held.pieces[part];
@@ -859,6 +879,7 @@
         let sent = |o: &Out| (o.scan, o.part, o.shot) == (ended.scan, ended.part, ended.shot);
         let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
         let took = self.now - out.at;
+        node.used = self.now;
         match ended.end {
             End::Cancelled | End::TimedOut => {
                 // Some nodes answer a part of what they take and swallow the rest, so that they are never
@@ -885,6 +906,11 @@
                 return;
             }
             End::NotSent => return,
+            // Broken at once on a connection that lay idle: that is no fault of the node, which has not even
+            // seen it. A crash breaks what is out at any time.
+            End::Dropped if out.idle > median && took < PROMPT * self.site.tick => {
+                return keep_last(&mut self.reaped, (self.now, out.idle), NODE_SAMPLES);
+            }
             End::Completed | End::Error | End::NoConnection | End::Dropped => {}
         }
         if matches!(ended.end, End::Completed | End::Error) {
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -20,6 +20,8 @@
     fn now(&self) -> f64;
     /// Sends a part to a node. A part's dispatches count from 0 in the order of these calls.
     fn dispatch(&mut self, scan: ScanId, part: usize, node: NodeId);
+    /// Gives up the idle connections to a node; what is sent next opens a new one.
+    fn close_idle(&mut self, node: NodeId);
     /// Stops waiting for one dispatch; its end is still reported.
     fn cancel(&mut self, scan: ScanId, part: usize, shot: usize);
     /// Asks a node for a sign of life and room; its end comes back as [`Broker::probed`].
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -23,6 +23,7 @@
     pub finals: Vec<(f64, ScanId, Final)>,
     pub cancelled: Vec<(ScanId, usize, usize)>,
     pub probed: Vec<NodeId>,
+    pub closed: Vec<NodeId>,
     pub log: Vec<String>,
     /// How each node ends what it is sent, and after how long; a node that is not here is silent.
     pub nodes: Vec<Option<(End, f64)>>,
@@ -52,6 +53,9 @@
         self.due.retain(|(_, e)| (e.scan, e.part, e.shot) != (scan, part, shot));
         self.due.push((self.now, Ended { scan, part, shot, node, end: End::Cancelled, took }));
     }
+    fn close_idle(&mut self, node: NodeId) {
+        self.closed.push(node);
+    }
     fn probe(&mut self, node: NodeId) {
         self.probed.push(node);
     }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -244,6 +244,28 @@
     assert!(town.host.log.iter().any(|l| l == "node 2 is set aside: it fails what it is given"));
 }
 
+#[rstest]
+#[case::dropped_unseen_while_idle(3.0, 0.002, true)]
+#[case::in_steady_use(0.05, 0.002, false)]
+#[case::broken_by_a_crash(3.0, 0.1, false)]
+fn idle_connections_that_break_are_no_fault_of_their_nodes(
+    #[case] idle: f64,
+    #[case] took: f64,
+    #[case] told: bool,
+) {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    town.run(idle);
+    town.host.nodes = vec![Some((End::Dropped, took)); 6];
+    town.scan(FULL, &[0, 3]);
+    town.run(0.5);
+    town.run(4.0);
+    town.host.closed.clear();
+    let scan = town.scan(FIX, &[0]);
+    assert_eq!(town.sent(scan).first().is_some_and(|s| town.host.closed == [s.node]), told);
+    assert!((0..6).all(|n| !town.aside(n)));
+}
+
 #[test]
 fn one_stray_error_sets_no_node_aside() {
     let mut town = Town::new(site());
--- a/crates/dunepond-simhost/src/desk.rs
+++ b/crates/dunepond-simhost/src/desk.rs
@@ -83,6 +83,10 @@
         }
     }
 
+    fn close_idle(&mut self, node: NodeId) {
+        self.orders.push(json!({"what": "shutIdle", "node": self.nodes[node]}));
+    }
+
     fn probe(&mut self, node: NodeId) {
         self.orders.push(json!({"what": "sample", "node": self.nodes[node]}));
     }
