Reckon a node's part of the completions by the list of their time

A short list after a crash of many made what all had completed look like the work of few, and widened cold nodes' room.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -145,8 +145,10 @@
     zones: Vec<VecDeque<(f64, f64)>>,
     /// What dispatches to each zone take.
     zone_usual: Vec<f64>,
-    /// How long the last completed dispatches at warm nodes took, and when each was in.
-    fleet: VecDeque<(f64, f64)>,
+    /// How long the last completed dispatches at warm nodes took, when each was in, and one node's part of it:
+    /// after a crash of many the list is short, and what all of them did would be taken for what few do.
+    fleet: VecDeque<(f64, f64, f64)>,
+    listed: usize,
     /// Benefit for the work of the last scans that came.
     density: VecDeque<f64>,
     /// Scans taken within its share, by customer.
@@ -239,6 +241,7 @@
             zones: Vec::new(),
             zone_usual: Vec::new(),
             fleet: VecDeque::new(),
+            listed: 1,
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
             full_try: vec![0.0; site.table_types.len() * site.quotas.len().max(1)],
@@ -306,6 +309,8 @@
                 node.phase = Some(self.rng.random());
             }
         }
+        let listed = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active);
+        self.listed = listed.count().max(1);
     }
 
     pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
@@ -768,9 +773,8 @@
     }
 
     fn warm_rate(&self) -> f64 {
-        let listed = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active).count();
         let since = self.fleet.front().map_or(0.0, |f| f.1);
-        self.fleet.len() as f64 / (self.now - since).max(self.site.tick) / listed.max(1) as f64
+        self.fleet.iter().map(|f| f.2).sum::<f64>() / (self.now - since).max(self.site.tick)
     }
 
     // ---- further dispatches
@@ -921,7 +925,7 @@
         // A cold node speaks for no other: it may be quicker than the least it must be, and what seemed
         // usual then would widen the room of all cold nodes.
         if ended.end == End::Completed && warmth >= 1.0 {
-            keep_last(&mut self.fleet, (took, self.now), FLEET_SAMPLES);
+            keep_last(&mut self.fleet, (took, self.now, 1.0 / self.listed as f64), FLEET_SAMPLES);
         }
         keep_last(
             &mut node.samples,
