Count the rate of warm nodes over warm ones; a fault weighs a holder but is no wait

Cause: after a crash of many the completions of the few warm nodes were spread over all listed ones, so that cold nodes got a third of what they may take and the fleet could not come back; and a fault counted as a wait of nearly all, so that blocks were turned away because a holder had refused something at once. Change: each completion is a share of the warm, listed nodes of its moment; faults count for the choice only.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -148,7 +148,7 @@
     /// How long the last completed dispatches at warm nodes took, when each was in, and one node's part of it:
     /// after a crash of many the list is short, and what all of them did would be taken for what few do.
     fleet: VecDeque<(f64, f64, f64)>,
-    listed: usize,
+    warm: usize,
     /// Benefit for the work of the last scans that came.
     density: VecDeque<f64>,
     /// Scans taken within its share, by customer.
@@ -241,7 +241,7 @@
             zones: Vec::new(),
             zone_usual: Vec::new(),
             fleet: VecDeque::new(),
-            listed: 1,
+            warm: 1,
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
             full_try: vec![0.0; site.table_types.len() * site.quotas.len().max(1)],
@@ -309,8 +309,6 @@
                 node.phase = Some(self.rng.random());
             }
         }
-        let listed = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active);
-        self.listed = listed.count().max(1);
     }
 
     pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
@@ -384,6 +382,8 @@
     pub fn wake(&mut self, host: &mut dyn Host) {
         self.hear(host);
         self.wake_due = f64::MAX;
+        let listed = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active);
+        self.warm = listed.filter(|n| n.warmth(&self.site, self.now) >= 1.0).count().max(1);
         self.seen = self.warm_rate();
         for node in 0..self.nodes.len() {
             if self.nodes[node].as_ref().is_some_and(|n| n.outstanding() > 0.0) {
@@ -460,7 +460,7 @@
             oldest => {
                 // What it did before it was set aside says nothing of its trial.
                 let lately =
-                    if n.aside.is_some() { 0.0 } else { self.usual(n, 0.25 * self.fresh) - self.ease };
+                    if n.aside.is_some() { 0.0 } else { self.usual(n, 0.25 * self.fresh, 0.0) - self.ease };
                 oldest.map_or(0.0, |o| self.now - o.at).max(lately)
             }
         });
@@ -734,17 +734,16 @@
     /// has mended is found out once the others hold as many times more.
     fn load(&self, id: NodeId) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
-        let slower = (self.usual(node, self.fresh) / self.median).max(1.0);
+        let slower = (self.usual(node, self.fresh, self.nearly_all) / self.median).max(1.0);
         (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
 
-    /// What dispatches to this node take.
-    fn usual(&self, node: &Node, lately: f64) -> f64 {
+    /// What dispatches to this node take; a fault comes back soon, and counts for as long as it is said to.
+    fn usual(&self, node: &Node, lately: f64, fault: f64) -> f64 {
         let fresh = node.samples.iter().filter(|s| s.sent + s.took > self.now - lately);
         let zone = self.zone_usual.get(node.zone).copied().unwrap_or(self.median);
-        let (took, count) = fresh.fold((zone, 1.0), |(sum, n), s| {
-            (sum + s.took.max(if s.fault { self.nearly_all } else { 0.0 }), n + 1.0)
-        });
+        let (took, count) = fresh
+            .fold((zone, 1.0), |(sum, n), s| (sum + s.took.max(if s.fault { fault } else { 0.0 }), n + 1.0));
         took / count
     }
 
@@ -925,7 +924,7 @@
         // A cold node speaks for no other: it may be quicker than the least it must be, and what seemed
         // usual then would widen the room of all cold nodes.
         if ended.end == End::Completed && warmth >= 1.0 {
-            keep_last(&mut self.fleet, (took, self.now, 1.0 / self.listed as f64), FLEET_SAMPLES);
+            keep_last(&mut self.fleet, (took, self.now, 1.0 / self.warm as f64), FLEET_SAMPLES);
         }
         keep_last(
             &mut node.samples,
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -168,6 +168,31 @@
     assert!(town.to_node(0, restart) <= 4);
 }
 
+#[test]
+fn a_list_cut_short_does_not_make_the_work_of_all_that_of_few() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 4.0, 0.05);
+    let restart = town.host.now;
+    let gone: Vec<_> = (1..5).map(|n| row(n, Standing::Gone, 0.0)).collect();
+    town.list(false, &[vec![row(0, Standing::Active, restart)], gone].concat());
+    town.host.nodes[5] = None;
+    (0..40).for_each(|_| {
+        town.scan(FULL, &[0]);
+        town.run(0.025);
+    });
+    assert!((1..=3).contains(&town.to_node(0, restart)));
+}
+
+#[test]
+fn a_fault_is_no_wait() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    let scan = town.scan(FULL, &[0]);
+    (0..3).for_each(|_| town.end(scan, 0, End::Error));
+    let scans: Vec<_> = (0..12).map(|_| town.scan(FULL, &[0])).collect();
+    assert!(scans.iter().all(|s| town.finals(*s).is_empty()));
+}
+
 #[rstest]
 #[case::half_is_enough(2, Final::Answer { whole: false })]
 #[case::a_quarter_is_not(1, Final::Throttle { wait: 0.0 })]
