Count faults by table type; take in customers that the settings do not list

Evidence that the node is sound: another type's dispatches to it completed, none of that type failed. Change: a fault weighs a holder for its own table type only; a type that failed twice of the last eight keeps away, a non-replayable part always; the node is set aside only if no type of its samples has gone well throughout. Also covers: a bad release of one kind of work. Harm: a dying node is kept for types that have not failed yet. A customer beyond the settings' list ended the adapter; it is served now, outside any stated share.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -2,8 +2,8 @@
 //!
 //! How to call it: `Broker::new` with what the deployment states, then `listed` for each word of the
 //! node list, `scan` for each scan with its parts, `second_step` for parts that an answer brought,
-//! `ended` once for each dispatch, `wake` when asked for, `client_left` when the client has gone. Each
-//! call may give orders through `Host`. Plain types and `Host` are defined in `lib.rs`, beside this file.
+//! `ended` once for each dispatch, `probed` for each probe, `wake` when asked for, `client_left` when the
+//! client has gone. Each gives its orders through `Host`; that and the plain types are in `lib.rs` beside.
 //!
 //! A scan passes `DOWN`, a chain of stages, at its arrival and again whenever something may have changed:
 //! admission, time, tally, fork, further dispatches. What comes back from a node passes `UP`, the other
@@ -92,6 +92,7 @@
 
 struct Out {
     scan: ScanId,
+    table_type: usize,
     part: usize,
     shot: usize,
     at: f64,
@@ -100,8 +101,10 @@
 }
 
 struct Sample {
+    table_type: usize,
     sent: f64,
     took: f64,
+    served: bool,
     fault: bool,
 }
 
@@ -145,7 +148,7 @@
     zones: Vec<VecDeque<(f64, f64)>>,
     /// What dispatches to each zone take.
     zone_usual: Vec<f64>,
-    /// How long the last completed dispatches at warm nodes took, when each was in, and one node's part of it:
+    /// How long the last completions at warm nodes took, when each was in, and one node's part of it:
     /// after a crash of many the list is short, and what all of them did would be taken for what few do.
     fleet: VecDeque<(f64, f64, f64)>,
     warm: usize,
@@ -224,6 +227,18 @@
         (self.outs.len() + self.ghosts.len()) as f64
     }
 
+    fn fails(&self, table_type: usize, since: f64) -> bool {
+        let faults = self.samples.iter().filter(|s| s.fault && s.sent > since);
+        faults.filter(|s| s.table_type == table_type).count() >= FAULTS
+    }
+
+    /// Some table type of its samples has only gone well: then it is no fault of the whole node, which the
+    /// other types would lose, and the one that fails keeps away by itself.
+    fn serves_others(&self) -> bool {
+        let failed = |t: usize| self.samples.iter().any(|s| s.fault && s.table_type == t);
+        self.samples.iter().any(|s| s.served && !failed(s.table_type))
+    }
+
     /// How long it has been silent while it owed us something.
     fn silent(&self, now: f64) -> f64 {
         self.outs.first().map_or(0.0, |oldest| now - oldest.at.max(self.heard))
@@ -244,7 +259,7 @@
             warm: 1,
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
-            full_try: vec![0.0; site.table_types.len() * site.quotas.len().max(1)],
+            full_try: Vec::new(),
             taken: VecDeque::new(),
             taken_sum: 0.0,
             again: VecDeque::new(),
@@ -318,7 +333,9 @@
         let kind = &self.site.table_types[scan.table_type];
         // A further try has used up part of its client's time. How much shows only once it is given less
         // than that customer's first tries, which some clients keep short.
-        let full = &mut self.full_try[scan.table_type + scan.customer * self.site.table_types.len()];
+        let tries = scan.table_type + scan.customer * self.site.table_types.len();
+        self.full_try.resize(self.full_try.len().max(tries + 1), 0.0);
+        let full = &mut self.full_try[tries];
         if !scan.resent {
             *full = scan.expires_in;
         }
@@ -384,7 +401,8 @@
         self.wake_due = f64::MAX;
         let listed = self.nodes.iter().flatten().filter(|n| n.standing == Standing::Active);
         self.warm = listed.filter(|n| n.warmth(&self.site, self.now) >= 1.0).count().max(1);
-        self.seen = self.warm_rate();
+        let since = self.fleet.front().map_or(0.0, |f| f.1);
+        self.seen = self.fleet.iter().map(|f| f.2).sum::<f64>() / (self.now - since).max(self.site.tick);
         for node in 0..self.nodes.len() {
             if self.nodes[node].as_ref().is_some_and(|n| n.outstanding() > 0.0) {
                 self.judge(host, node);
@@ -459,8 +477,11 @@
             _ if self.full(n) => f64::MAX,
             oldest => {
                 // What it did before it was set aside says nothing of its trial.
-                let lately =
-                    if n.aside.is_some() { 0.0 } else { self.usual(n, 0.25 * self.fresh, 0.0) - self.ease };
+                let lately = if n.aside.is_some() {
+                    0.0
+                } else {
+                    self.usual(n, 0.25 * self.fresh, |_| 0.0) - self.ease
+                };
                 oldest.map_or(0.0, |o| self.now - o.at).max(lately)
             }
         });
@@ -631,7 +652,7 @@
         }
         if held.asked.is_some_and(|at| at > f64::MIN) && !self.asking(held) {
             held.asked = Some(f64::MIN);
-            // Too few of its holders are free at this very moment; sent all the same it would be late, and the
+            // Too few of its holders are free at this moment; sent all the same it would be late, and the
             // next ones too.
             if held.weight(|p| !p.shots.is_empty()) < FREE * self.need(held) {
                 return self.give_up(host, held);
@@ -675,7 +696,14 @@
         let shots = &mut held.pieces[part].shots;
         shots.push(Shot { node, at: self.now, end: None });
         if let Some(n) = &mut self.nodes[node] {
-            n.outs.push(Out { scan: held.id, part, shot: shots.len() - 1, at: self.now, idle });
+            n.outs.push(Out {
+                table_type: held.table_type,
+                scan: held.id,
+                part,
+                shot: shots.len() - 1,
+                at: self.now,
+                idle,
+            });
             n.used = self.now;
             if n.warmth(&self.site, self.now) < 1.0 {
                 n.sent_cold.push_back(self.now);
@@ -707,7 +735,10 @@
             {
                 continue;
             }
+            let fails = node.fails(held.table_type, self.now - self.fresh);
             match &node.aside {
+                None if fails && replayable => doubtful.push(id),
+                None if fails => {}
                 None if replayable || node.silent(self.now) < self.nearly_all => fit.push(id),
                 None => doubtful.push(id),
                 // What cannot be asked again waits for a holder in service; unsent it can be turned away.
@@ -725,25 +756,27 @@
                 let first = self.rng.random_range(0..n);
                 let second = (first + self.rng.random_range(1..n)) % n;
                 let (a, b) = (among[first], among[second]);
-                Some(if self.load(b) < self.load(a) { b } else { a })
+                Some(if self.load(b, held.table_type) < self.load(a, held.table_type) { b } else { a })
             }
         }
     }
 
     /// What a node holds of ours, weighed by how much longer than the fleet its last parts took. A node that
     /// has mended is found out once the others hold as many times more.
-    fn load(&self, id: NodeId) -> f64 {
+    fn load(&self, id: NodeId, table_type: usize) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
-        let slower = (self.usual(node, self.fresh, self.nearly_all) / self.median).max(1.0);
+        let fault = |s: &Sample| if s.table_type == table_type { self.nearly_all } else { self.median };
+        let slower = (self.usual(node, self.fresh, fault) / self.median).max(1.0);
         (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
 
     /// What dispatches to this node take; a fault comes back soon, and counts for as long as it is said to.
-    fn usual(&self, node: &Node, lately: f64, fault: f64) -> f64 {
+    fn usual(&self, node: &Node, lately: f64, fault: impl Fn(&Sample) -> f64) -> f64 {
         let fresh = node.samples.iter().filter(|s| s.sent + s.took > self.now - lately);
         let zone = self.zone_usual.get(node.zone).copied().unwrap_or(self.median);
-        let (took, count) = fresh
-            .fold((zone, 1.0), |(sum, n), s| (sum + s.took.max(if s.fault { fault } else { 0.0 }), n + 1.0));
+        let (took, count) = fresh.fold((zone, 1.0), |(sum, n), s| {
+            (sum + s.took.max(if s.fault { fault(s) } else { 0.0 }), n + 1.0)
+        });
         took / count
     }
 
@@ -771,11 +804,6 @@
         self.now - last >= turn
     }
 
-    fn warm_rate(&self) -> f64 {
-        let since = self.fleet.front().map_or(0.0, |f| f.1);
-        self.fleet.iter().map(|f| f.2).sum::<f64>() / (self.now - since).max(self.site.tick)
-    }
-
     // ---- further dispatches
 
     /// Retries of what has failed, and second copies of what will not come in time.
@@ -883,23 +911,19 @@
         let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
         let took = self.now - out.at;
         node.used = self.now;
+        let mut withdrawn = false;
         match ended.end {
             End::Cancelled | End::TimedOut => {
                 // Some nodes answer a part of what they take and swallow the rest, so that they are never
                 // silent for long. What later ones overtook, and nobody answered for so long, is lost.
                 let overtaken = node.samples.iter().filter(|s| s.sent > out.at).count() >= OVERTAKEN;
-                if !overtaken || took < SILENT * nearly_all {
+                withdrawn = !overtaken || took < SILENT * nearly_all;
+                if withdrawn {
                     // Whether the node still works on it is told nowhere.
                     node.ghosts.push(out.at + median);
-                    if took > SLOW * median {
-                        keep_last(
-                            &mut node.samples,
-                            Sample { sent: out.at, took, fault: false },
-                            NODE_SAMPLES,
-                        );
-                        keep_last(&mut self.zones[node.zone], (took, self.now), 2 * NODE_SAMPLES);
+                    if took <= SLOW * median {
+                        return;
                     }
-                    return;
                 }
             }
             // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
@@ -926,14 +950,15 @@
         if ended.end == End::Completed && warmth >= 1.0 {
             keep_last(&mut self.fleet, (took, self.now, 1.0 / self.warm as f64), FLEET_SAMPLES);
         }
-        keep_last(
-            &mut node.samples,
-            Sample { sent: out.at, took, fault: ended.end != End::Completed },
-            NODE_SAMPLES,
-        );
+        let (served, table_type) = (ended.end == End::Completed, out.table_type);
+        let sample = Sample { table_type, sent: out.at, took, served, fault: !served && !withdrawn };
+        keep_last(&mut node.samples, sample, NODE_SAMPLES);
         keep_last(&mut self.zones[node.zone], (took, self.now), 2 * NODE_SAMPLES);
+        if withdrawn {
+            return;
+        }
         if let Some(aside) = &mut node.aside {
-            if ended.end == End::Completed && took <= SLOW * median {
+            if served && took <= SLOW * median {
                 aside.room *= 2;
                 if aside.room > TRICKLE_END {
                     node.aside = None;
@@ -961,7 +986,7 @@
             return;
         }
         let silent = node.silent(now) * node.warmth(&self.site, now) > silence;
-        let faults = node.samples.iter().filter(|s| s.fault).count() >= FAULTS;
+        let faults = node.samples.iter().filter(|s| s.fault).count() >= FAULTS && !node.serves_others();
         let why = match (silent, faults) {
             (true, _) => "it is silent",
             (_, true) => "it fails what it is given",
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -291,6 +291,26 @@
     assert!((0..6).all(|n| !town.aside(n)));
 }
 
+#[test]
+fn a_node_that_fails_one_table_type_keeps_the_others() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    let start = town.host.now;
+    let fails = |town: &mut Town| {
+        let scan = town.scan(QUICK, &[2]);
+        town.scan(FULL, &[2]);
+        let met = town.sent(scan)[0].node == 2;
+        if met {
+            town.end(scan, 0, End::Error);
+        }
+        town.run(0.05);
+        usize::from(met)
+    };
+    let failed: usize = (0..200).map(|_| fails(&mut town)).sum();
+    assert!(!town.aside(2));
+    assert!(failed < 30 && town.to_node(2, start) > 2 * failed, "{failed}");
+}
+
 #[test]
 fn one_stray_error_sets_no_node_aside() {
     let mut town = Town::new(site());
--- a/crates/dunepond-simhost/tests/wire.rs
+++ b/crates/dunepond-simhost/tests/wire.rs
@@ -52,6 +52,14 @@
     assert!(done.status.success());
 }
 
+#[test]
+fn a_customer_that_the_settings_do_not_list_is_served() {
+    let scan = SCAN.replace(r#""query":1,"#, r#""query":1,"owner":7,"#);
+    let done = play(&[batch(1, &[INIT, LIST, &scan]), batch(2, &[GOOD])]);
+    assert!(done.status.success());
+    assert!(String::from_utf8_lossy(&done.stdout).contains("conclude"));
+}
+
 #[test]
 fn an_instance_killed_and_started_again_knows_nothing() {
     let stop = r#"{"what":"shutdown"}"#;
