--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -469,7 +469,7 @@
 
     // ---- admission
 
-    /// How long parts wait at the best holder of a segment in service or due a trial: our oldest there or what
+    /// How long parts wait at a segment's best holder in service or due a trial: our oldest there or what
     /// its last ones took beyond ease. Where there is none the wait has no end: a scan sent to dead nodes
     /// would only take the others' time. That is no overload: scans of other segments do not feel it.
     fn wait_for(&self, seg: usize) -> f64 {
