--- a/crates/dunepond-simhost/src/desk.rs
+++ b/crates/dunepond-simhost/src/desk.rs
@@ -4,10 +4,11 @@
 use std::collections::HashMap;
 
 use dunepond_decide::{Broker, End, Ended, Host, Listed, NodeId, Part, Scan, ScanId};
+use dunepond_settings::{Bad, Fields, deployment};
 use serde_json::{Value, json};
 
 use crate::Lists;
-use crate::read::{self, Bad, Fields};
+use crate::read;
 
 /// The names of a scan, kept until it has ended and all its dispatches have come back.
 struct Named {
@@ -127,7 +128,8 @@
 
 impl Seat {
     pub fn open(now: f64, init: &Fields) -> Result<Self, Bad> {
-        let site = read::deployment(init)?;
+        let seed = init.whole("salt")?.cast_unsigned();
+        let site = deployment(seed, &Fields::of("init params", init.raw("params")?)?)?;
         Ok(Self {
             table_types: site.table_types.len(),
             broker: Broker::new(site),
@@ -196,7 +198,7 @@
             let first = Scan {
                 id: scan,
                 table_type: event.index("cls", self.table_types)?,
-                customer: event.count_or_zero("owner")? as usize,
+                customer: event.count_or("owner", 0)? as usize,
                 expires_in: event.number("expiresInMs")? / 1000.0,
                 resent: event.mark("resent")?,
                 parts: Vec::new(),
@@ -239,7 +241,7 @@
         let ended = Ended {
             scan,
             part,
-            shot: event.count_or_zero("shot")? as usize,
+            shot: event.count_or("shot", 0)? as usize,
             node: self.desk.node(event.text("node")?),
             end,
             took: event.number_or("delaySeenMs", 0.0)? / 1000.0,
--- a/crates/dunepond-simhost/src/main.rs
+++ b/crates/dunepond-simhost/src/main.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 
 use desk::Seat;
-use read::{Bad, Fields};
+use dunepond_settings::{Bad, Fields};
 use serde_json::{Value, json};
 
 /// The numbered node lists last registered; one set for the whole process.
@@ -50,7 +50,7 @@
         let event = Fields::of(what, event)?;
         match what {
             "register" => {
-                self.lists.insert(event.count("setId")?, event.rows("rowsIn")?);
+                self.lists.insert(event.count("setId")?, read::rows(&event)?);
             }
             "init" => {
                 self.seats.insert(who.to_string(), Seat::open(now, &event)?);
--- /dev/null
+++ b/crates/dunepond/src/clock.rs
@@ -0,0 +1,70 @@
+//! One steady clock on which the list's times stand too, and what is to be done at its times.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Unix time, read once at the start and carried on by a clock that is never set back.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64());
+        Self { start: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.unix + self.start.elapsed().as_secs_f64()
+    }
+}
+
+/// What is due at some time, each naming whom it concerns.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Due {
+    Wake,
+    ScanEnds(u64),
+    LinkUp(usize),
+    LinkIdle(usize),
+    ClientSlow(usize),
+    Agent,
+    Accept,
+    Drain,
+}
+
+/// An alarm that is set; good for taking it back.
+pub type Key = (u64, u64);
+
+/// Kept in order of time: calloop's own timers pass all of them to take one back.
+#[derive(Default)]
+pub struct Alarms {
+    set: BTreeMap<Key, Due>,
+    count: u64,
+}
+
+impl Alarms {
+    pub fn set(&mut self, at: f64, due: Due) -> Key {
+        self.count += 1;
+        let key = ((at.max(0.0) * 1e6) as u64, self.count);
+        self.set.insert(key, due);
+        key
+    }
+
+    pub fn unset(&mut self, key: Option<Key>) {
+        if let Some(key) = key {
+            self.set.remove(&key);
+        }
+    }
+
+    pub fn until_next(&self, now: f64) -> Option<Duration> {
+        let (micros, _) = self.set.first_key_value()?.0;
+        Some(Duration::from_micros(micros.saturating_sub((now * 1e6) as u64)))
+    }
+
+    pub fn take_due(&mut self, now: f64) -> Option<Due> {
+        let first = self.set.first_entry()?;
+        if first.key().0 > (now * 1e6) as u64 { None } else { Some(first.remove()) }
+    }
+}
--- /dev/null
+++ b/crates/dunepond/src/config.rs
@@ -0,0 +1,86 @@
+//! The one place where configuration is read, checked and given defaults: the environment, the file that
+//! it names, and the settings in that file.
+
+use std::net::SocketAddr;
+
+use dunepond_decide::Deployment;
+use dunepond_settings::{Bad, Bounds, Fields, bounds, deployment};
+use log::LevelFilter;
+use serde_json::Value;
+
+use crate::buffers::SIZE;
+
+/// Descriptors for what is neither a client nor a node: standard streams, loop, signals, list, listener.
+const OWN_SOCKETS: u64 = 24;
+const MEMORY_MB: f64 = 192.0;
+const SOCKETS: u64 = 1024;
+
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub level: LevelFilter,
+    pub most_clients: usize,
+    pub most_links: usize,
+    pub deployment: Deployment,
+    pub bounds: Bounds,
+    /// The list as this broker last held it, in discovery's form.
+    pub known: Value,
+}
+
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Start, Bad> {
+    let path = variable("GW_CONFIG").ok_or_else(|| Bad("GW_CONFIG: not set".to_string()))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| Bad(format!("GW_CONFIG: {path}: {e}")))?;
+    let file: Value = serde_json::from_str(&text).map_err(|e| Bad(format!("GW_CONFIG: {path}: {e}")))?;
+    start(&file, variable)
+}
+
+fn start(file: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Start, Bad> {
+    let config = Fields::of("config", file)?;
+    // What the environment says goes before the file.
+    let told = |name: &str, key: &str| match variable(name) {
+        Some(value) => Ok((value, name.to_string())),
+        None => Ok::<_, Bad>((config.text(key)?.to_string(), format!("config: {key}"))),
+    };
+    let address = |name: &str, key: &str| {
+        let (value, source) = told(name, key)?;
+        value.parse::<SocketAddr>().map_err(|_| Bad(format!("{source}: '{value}' is not an address:port")))
+    };
+    let seed = config.text("seed")?;
+    let seed = u64::from_str_radix(seed, 16)
+        .map_err(|_| config.bad("seed", "not a hexadecimal number of 64 bits"))?;
+    let settings = Fields::of("settings", config.raw("settings")?)?;
+    let mut deployment = deployment(seed, &settings)?;
+    if deployment.table_types.iter().any(|t| t.second_step) {
+        return Err(settings.bad("familyInfo.secondStep", "second steps are not served on sockets"));
+    }
+    // The frames have no probe.
+    deployment.may_probe = false;
+    let sockets = config.count_or("limits.sockets", SOCKETS)?;
+    let memory = config.number_or("limits.memory_mb", MEMORY_MB)?;
+    let level = match variable("GW_LOG") {
+        Some(value) => value.parse().map_err(|_| Bad(format!("GW_LOG: '{value}' is no level")))?,
+        None => match config.optional_text("log")? {
+            Some(value) => value.parse().map_err(|_| config.bad("log", "not a level"))?,
+            None => LevelFilter::Info,
+        },
+    };
+    // Each connection holds at most a buffer read and one written, a client's also a body; half of the
+    // memory is for them, the rest for scans in hand, queued frames and the program itself.
+    let affordable = (memory * 1024.0 * 1024.0 / 2.0 / (3 * SIZE) as f64) as u64;
+    let most = sockets.saturating_sub(OWN_SOCKETS).min(affordable);
+    if most < 16 {
+        return Err(config.bad("limits", "too little memory or sockets for any connections"));
+    }
+    Ok(Start {
+        name: told("GW_NAME", "name")?.0,
+        listen: address("GW_LISTEN", "listen")?,
+        discovery: address("GW_DISCOVERY", "discovery")?,
+        level,
+        most_clients: (most / 2) as usize,
+        most_links: (most / 2) as usize,
+        deployment,
+        bounds: bounds(&settings)?,
+        known: config.maybe("known", "a list of nodes", Some)?.cloned().unwrap_or(Value::Null),
+    })
+}
--- /dev/null
+++ b/crates/dunepond/src/desk.rs
@@ -0,0 +1,275 @@
+//! The module's host: its orders go to the peers, and what comes back from them becomes its calls.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use dunepond_decide::{End, Ended, Host, NodeId, Scan, ScanId};
+use dunepond_settings::Bounds;
+use log::{debug, error, info};
+use serde_json::json;
+
+use crate::clients::{Asked, Clients};
+use crate::clock::{Alarms, Due, Key};
+use crate::servers::{Back, Parcel, Servers};
+
+/// A scan from its request until it is answered and all its dispatches are back.
+struct InHand {
+    client: usize,
+    call_id: String,
+    text: Rc<str>,
+    segs: Vec<usize>,
+    ids: Vec<Rc<str>>,
+    /// The value of each part that is in.
+    values: Vec<Option<String>>,
+    /// The nodes of each part's dispatches.
+    shots: Vec<Vec<NodeId>>,
+    ends_at: f64,
+    alarm: Option<Key>,
+    out: usize,
+    /// Answered or given up by its client: nothing more goes out for it.
+    over: bool,
+    forgotten: bool,
+}
+
+pub struct Desk {
+    pub now: f64,
+    pub alarms: Alarms,
+    pub clients: Clients,
+    pub servers: Servers,
+    bounds: Rc<Bounds>,
+    cells: usize,
+    holders: usize,
+    dispatch_cap: usize,
+    scans: HashMap<ScanId, InHand>,
+    call_ids: HashSet<String>,
+    last: ScanId,
+    /// Scans and parts that are open.
+    held: usize,
+}
+
+impl InHand {
+    fn open_parts(&self) -> usize {
+        self.values.iter().filter(|v| v.is_none()).count()
+    }
+}
+
+impl Desk {
+    pub fn new(
+        site: &dunepond_decide::Deployment,
+        bounds: Rc<Bounds>,
+        clients: Clients,
+        servers: Servers,
+    ) -> Self {
+        Self {
+            now: 0.0,
+            alarms: Alarms::default(),
+            clients,
+            servers,
+            bounds,
+            cells: site.cells,
+            holders: site.holders,
+            dispatch_cap: site.dispatch_cap,
+            scans: HashMap::new(),
+            call_ids: HashSet::new(),
+            last: 0,
+            held: 0,
+        }
+    }
+
+    /// Takes a scan in hand; one too many is turned away before the module hears of it.
+    pub fn take(&mut self, client: usize, asked: Asked) -> Option<Scan> {
+        if self.bounds.most_held.is_some_and(|most| self.held >= most) {
+            debug!("scan {}: throttled, {} scans and parts are held", asked.call_id, self.held);
+            self.clients.reply(self.now, client, 503, "", 0.0, &mut self.alarms);
+            return None;
+        }
+        if !self.call_ids.insert(asked.call_id.clone()) {
+            let body = json!({"error": "X-Call-Id: in use"}).to_string();
+            self.clients.reply(self.now, client, 400, &body, 0.0, &mut self.alarms);
+            return None;
+        }
+        self.last += 1;
+        let scan = self.last;
+        let segs: Vec<_> = asked.parts.iter().map(|p| p.seg).collect();
+        let count = segs.len();
+        self.held += 1 + count;
+        self.clients.holds(client, scan);
+        debug!("scan {}: taken as {scan}, {count} parts", asked.call_id);
+        let in_hand = InHand {
+            client,
+            text: asked.text,
+            ids: segs.iter().map(|seg| format!("{}.{seg}", asked.call_id).into()).collect(),
+            segs,
+            values: vec![None; count],
+            shots: vec![Vec::new(); count],
+            ends_at: asked.expires_at,
+            alarm: Some(self.alarms.set(asked.expires_at, Due::ScanEnds(scan))),
+            out: 0,
+            over: false,
+            forgotten: false,
+            call_id: asked.call_id,
+        };
+        self.scans.insert(scan, in_hand);
+        Some(Scan {
+            id: scan,
+            table_type: asked.table_type,
+            customer: asked.customer,
+            expires_in: asked.expires_at - self.now,
+            resent: asked.resent,
+            parts: asked.parts,
+        })
+    }
+
+    /// Books a dispatch that is back; `None` if the module has nothing to hear of it.
+    pub fn book(&mut self, back: Back) -> Option<Ended> {
+        let Back { ended, value } = back;
+        let in_hand = self.scans.get_mut(&ended.scan)?;
+        in_hand.out -= 1;
+        debug!(
+            "scan {}: part {} at {}: {:?} after {:.4}",
+            in_hand.call_id,
+            ended.part,
+            self.servers.name(ended.node),
+            ended.end,
+            ended.took
+        );
+        if let Some(value) = value
+            && in_hand.values[ended.part].is_none()
+        {
+            in_hand.values[ended.part] = Some(value);
+            self.held -= usize::from(!in_hand.over);
+        }
+        Some(ended)
+    }
+
+    /// Lets go of a scan once nothing can name it any more.
+    pub fn release(&mut self, scan: ScanId) {
+        if self.scans.get(&scan).is_some_and(|s| s.forgotten && s.out == 0)
+            && let Some(in_hand) = self.scans.remove(&scan)
+        {
+            self.alarms.unset(in_hand.alarm);
+            self.call_ids.remove(&in_hand.call_id);
+        }
+    }
+
+    /// The scan's client has gone.
+    pub fn left(&mut self, scan: ScanId) {
+        if let Some(in_hand) = self.scans.get(&scan) {
+            debug!("scan {}: its client has left", in_hand.call_id);
+        }
+        self.conclude(scan);
+    }
+
+    /// A scan's time is up: what is out for it ends, as nobody waits for it. True if the module still owed
+    /// an answer.
+    pub fn scan_ends(&mut self, scan: ScanId) -> bool {
+        let Some(in_hand) = self.scans.get_mut(&scan) else { return false };
+        in_hand.alarm = None;
+        let owed = !in_hand.over;
+        let shots = in_hand.shots.iter().enumerate();
+        let shots: Vec<_> =
+            shots.flat_map(|(p, s)| s.iter().enumerate().map(move |(i, n)| (p, i, *n))).collect();
+        for (part, shot, node) in shots {
+            self.servers.give_up(self.now, node, (scan, part, shot), End::TimedOut, &mut self.alarms);
+        }
+        owed
+    }
+
+    /// Answers late rather than never; no decision is left at this point.
+    pub fn overdue(&mut self, scan: ScanId) {
+        if let Some(client) = self.conclude(scan) {
+            error!("scan {scan}: its time was up without an answer");
+            self.clients.reply(self.now, client, 504, "", 0.0, &mut self.alarms);
+        }
+    }
+
+    /// The scan is over; gives its client, unless it was over before.
+    fn conclude(&mut self, scan: ScanId) -> Option<usize> {
+        let in_hand = self.scans.get_mut(&scan).filter(|s| !s.over)?;
+        in_hand.over = true;
+        self.held -= 1 + in_hand.open_parts();
+        Some(in_hand.client)
+    }
+
+    fn reply(&mut self, scan: ScanId, status: u16, body: &str, wait: f64) {
+        if let Some(client) = self.conclude(scan) {
+            debug!("scan {}: answered {status}", self.scans[&scan].call_id);
+            self.clients.reply(self.now, client, status, body, wait, &mut self.alarms);
+        }
+    }
+
+    fn unsent(&mut self, scan: ScanId, part: usize, shot: usize, node: NodeId, end: End) {
+        let ended = Ended { scan, part, shot, node, end, took: 0.0 };
+        self.servers.back.push_back(Back { ended, value: None });
+    }
+}
+
+impl Host for Desk {
+    fn now(&self) -> f64 {
+        self.now
+    }
+
+    fn dispatch(&mut self, scan: ScanId, part: usize, node: NodeId) {
+        let Some(in_hand) = self.scans.get_mut(&scan) else { return };
+        let shot = in_hand.shots[part].len();
+        in_hand.shots[part].push(node);
+        in_hand.out += 1;
+        let seg = in_hand.segs[part];
+        if in_hand.over || shot >= self.dispatch_cap || in_hand.ends_at <= self.now {
+            return self.unsent(scan, part, shot, node, End::NotSent);
+        }
+        if !self.servers.holds(node, seg, self.cells, self.holders) {
+            error!("node {}: does not hold segment {seg}", self.servers.name(node));
+            return self.unsent(scan, part, shot, node, End::NotSent);
+        }
+        debug!("scan {}: part {part} to {}", in_hand.call_id, self.servers.name(node));
+        let (id, text, until) = (in_hand.ids[part].clone(), in_hand.text.clone(), in_hand.ends_at);
+        self.servers.dispatch(node, Parcel { scan, part, shot, id, seg, until, text });
+    }
+
+    fn close_idle(&mut self, node: NodeId) {
+        self.servers.close_idle(self.now, node, &mut self.alarms);
+    }
+
+    fn cancel(&mut self, scan: ScanId, part: usize, shot: usize) {
+        let node = self.scans.get(&scan).and_then(|s| s.shots.get(part)?.get(shot).copied());
+        if let Some(node) = node {
+            self.servers.give_up(self.now, node, (scan, part, shot), End::Cancelled, &mut self.alarms);
+        }
+    }
+
+    /// The frames know no probe, and the settings are read so that none is asked for.
+    fn probe(&mut self, _: NodeId) {}
+
+    fn answer(&mut self, scan: ScanId, whole: bool) {
+        let Some(in_hand) = self.scans.get(&scan) else { return };
+        let found = in_hand.segs.iter().zip(&in_hand.values);
+        let found: Vec<_> =
+            found.filter_map(|(seg, value)| Some(json!({"bucket": seg, "item": value.as_ref()?}))).collect();
+        let body = json!({"finished": whole, "found": found}).to_string();
+        self.reply(scan, 200, &body, 0.0);
+    }
+
+    fn throttle(&mut self, scan: ScanId, wait: f64) {
+        self.reply(scan, 503, "", wait);
+    }
+
+    fn abandon(&mut self, scan: ScanId) {
+        self.reply(scan, 500, "", 0.0);
+    }
+
+    fn forget(&mut self, scan: ScanId) {
+        if let Some(in_hand) = self.scans.get_mut(&scan) {
+            in_hand.forgotten = true;
+        }
+        self.release(scan);
+    }
+
+    fn wake_at(&mut self, at: f64) {
+        self.alarms.set(at, Due::Wake);
+    }
+
+    fn log(&mut self, line: &str) {
+        info!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/dunepond/src/http.rs
@@ -0,0 +1,265 @@
+//! HTTP/1.1 as both sides of the broker speak it: heads by httparse, bodies by length or in chunks.
+
+use std::io::Write;
+
+use crate::buffers::{Buffer, Pool, SIZE};
+
+/// Longest head, with its start line.
+const HEAD: usize = 16 * 1024;
+const HEADERS: usize = 64;
+
+/// Why a message cannot be taken: the status that says so, and the words for it.
+#[derive(Debug, PartialEq)]
+pub struct Refusal {
+    pub status: u16,
+    pub why: String,
+}
+
+pub fn refusal(status: u16, why: impl Into<String>) -> Refusal {
+    Refusal { status, why: why.into() }
+}
+
+/// How the body that follows is framed, and how far it has come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Framing {
+    Length(usize),
+    ChunkSize,
+    Chunk(usize),
+    ChunkEnd,
+    Trailer,
+    Done,
+}
+
+/// A head with the fields that either side reads; absent ones are empty.
+#[derive(Debug, PartialEq)]
+pub struct Head {
+    pub method: String,
+    pub path: String,
+    pub status: u16,
+    pub call_id: String,
+    pub class: String,
+    pub budget: String,
+    pub again: bool,
+    pub caller: String,
+    pub keep: bool,
+    pub expects: bool,
+    framing: Framing,
+}
+
+/// A message of which the head is in.
+pub struct Message {
+    pub head: Head,
+    pub body: Option<Buffer>,
+    framing: Framing,
+}
+
+fn fields(headers: &[httparse::Header], version: u8, may_lack: bool) -> Result<Head, Refusal> {
+    let mut head = Head {
+        method: String::new(),
+        path: String::new(),
+        status: 0,
+        call_id: String::new(),
+        class: String::new(),
+        budget: String::new(),
+        again: false,
+        caller: String::new(),
+        keep: version == 1,
+        expects: false,
+        framing: if may_lack { Framing::Done } else { Framing::Length(0) },
+    };
+    let mut length = None;
+    let mut chunked = false;
+    for header in headers {
+        let text = || {
+            let text = std::str::from_utf8(header.value).map_err(|_| format!("{}: not UTF-8", header.name));
+            text.map(|t| t.trim().to_string()).map_err(|why| refusal(400, why))
+        };
+        match header.name.to_ascii_lowercase().as_str() {
+            "content-length" => {
+                let value = text()?;
+                let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+                let count = value.parse::<usize>().ok().filter(|_| digits);
+                let count = count.ok_or_else(|| refusal(400, "Content-Length: not a length"))?;
+                if length.is_some_and(|before| before != count) {
+                    return Err(refusal(400, "Content-Length: given twice"));
+                }
+                length = Some(count);
+            }
+            "transfer-encoding" => {
+                if !text()?.eq_ignore_ascii_case("chunked") {
+                    return Err(refusal(501, "Transfer-Encoding: only chunked is known"));
+                }
+                chunked = true;
+            }
+            "connection" => {
+                let value = text()?.to_ascii_lowercase();
+                match value.split(',').map(str::trim).find(|v| matches!(*v, "close" | "keep-alive")) {
+                    Some("close") => head.keep = false,
+                    Some(_) => head.keep = true,
+                    None => {}
+                }
+            }
+            "expect" => head.expects = text()?.eq_ignore_ascii_case("100-continue"),
+            "x-call-id" => head.call_id = text()?,
+            "x-call-class" => head.class = text()?,
+            "x-budget" => head.budget = text()?,
+            "x-again" => head.again = text()? == "1",
+            "x-caller" => head.caller = text()?,
+            _ => {}
+        }
+    }
+    head.framing = match (chunked, length) {
+        // Both together are how requests are smuggled past a front.
+        (true, Some(_)) => return Err(refusal(400, "Content-Length: given beside Transfer-Encoding")),
+        (true, None) => Framing::ChunkSize,
+        (false, Some(length)) if length > SIZE => return Err(refusal(413, "body: over 64 KiB")),
+        (false, Some(length)) => Framing::Length(length),
+        (false, None) => head.framing,
+    };
+    Ok(head)
+}
+
+fn unfinished(input: &Buffer) -> Result<Option<Head>, Refusal> {
+    if input.held().len() > HEAD { Err(refusal(431, "head: over 16 KiB")) } else { Ok(None) }
+}
+
+/// Takes a request's head out of `input`; `None` until all of it is in.
+pub fn request(input: &mut Buffer) -> Result<Option<Head>, Refusal> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(input.held()) {
+        Err(e) => Err(refusal(400, format!("head: {e}"))),
+        Ok(httparse::Status::Partial) => unfinished(input),
+        Ok(httparse::Status::Complete(used)) => {
+            let mut head = fields(request.headers, request.version.unwrap_or(0), false)?;
+            head.method = request.method.unwrap_or_default().to_string();
+            head.path = request.path.unwrap_or_default().to_string();
+            input.consume(used);
+            Ok(Some(head))
+        }
+    }
+}
+
+/// Takes a response's head out of `input`; `None` until all of it is in.
+pub fn response(input: &mut Buffer) -> Result<Option<Head>, Refusal> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(input.held()) {
+        Err(e) => Err(refusal(400, format!("head: {e}"))),
+        Ok(httparse::Status::Partial) => unfinished(input),
+        Ok(httparse::Status::Complete(used)) => {
+            let mut head = fields(response.headers, response.version.unwrap_or(0), true)?;
+            head.status = response.code.unwrap_or(0);
+            input.consume(used);
+            Ok(Some(head))
+        }
+    }
+}
+
+impl Message {
+    pub fn after(head: Head) -> Self {
+        let framing = head.framing;
+        Self { head, body: None, framing }
+    }
+
+    pub fn text(&self) -> &[u8] {
+        self.body.as_ref().map_or(&[], Buffer::held)
+    }
+
+    /// Moves what has come of the body out of `input`; true once all of it is in.
+    pub fn take(&mut self, input: &mut Buffer, pool: &Pool) -> Result<bool, Refusal> {
+        loop {
+            self.framing = match self.framing {
+                Framing::Done | Framing::Length(0) => return Ok(true),
+                Framing::Length(left) => match self.moved(input, left, pool)? {
+                    0 => return Ok(false),
+                    moved => Framing::Length(left - moved),
+                },
+                Framing::Chunk(0) => Framing::ChunkEnd,
+                Framing::Chunk(left) => match self.moved(input, left, pool)? {
+                    0 => return Ok(false),
+                    moved => Framing::Chunk(left - moved),
+                },
+                Framing::ChunkSize => match httparse::parse_chunk_size(input.held()) {
+                    Err(_) => return Err(refusal(400, "body: not a chunk")),
+                    Ok(httparse::Status::Partial) => return self.wait(input),
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        input.consume(used);
+                        match size {
+                            0 => Framing::Trailer,
+                            size if size > SIZE as u64 => return Err(refusal(413, "body: over 64 KiB")),
+                            size => Framing::Chunk(size as usize),
+                        }
+                    }
+                },
+                Framing::ChunkEnd => match input.held() {
+                    [b'\r', b'\n', ..] => {
+                        input.consume(2);
+                        Framing::ChunkSize
+                    }
+                    [] | [b'\r'] => return Ok(false),
+                    _ => return Err(refusal(400, "body: a chunk longer than it says")),
+                },
+                Framing::Trailer => match input.held().windows(2).position(|w| w == b"\r\n") {
+                    None => return self.wait(input),
+                    Some(at) => {
+                        input.consume(at + 2);
+                        if at == 0 { Framing::Done } else { Framing::Trailer }
+                    }
+                },
+            }
+        }
+    }
+
+    /// A chunk's size or a trailer may be short of its end, but not for ever.
+    fn wait(&self, input: &Buffer) -> Result<bool, Refusal> {
+        if input.held().len() > HEAD { Err(refusal(400, "body: a chunk without an end")) } else { Ok(false) }
+    }
+
+    fn moved(&mut self, input: &mut Buffer, left: usize, pool: &Pool) -> Result<usize, Refusal> {
+        let held = input.held();
+        let held = &held[..held.len().min(left)];
+        if held.is_empty() {
+            return Ok(0);
+        }
+        let moved = self.body.get_or_insert_with(|| pool.take()).put(held);
+        if moved < held.len() {
+            return Err(refusal(413, "body: over 64 KiB"));
+        }
+        input.consume(moved);
+        Ok(moved)
+    }
+}
+
+/// The bytes of an answer; `wait` in seconds becomes `Retry-After`.
+pub fn answer(status: u16, body: &str, wait: f64, keep: bool) -> Vec<u8> {
+    let words = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Failed",
+    };
+    let mut out = Vec::with_capacity(160 + body.len());
+    let length = body.len();
+    let _ = write!(out, "HTTP/1.1 {status} {words}\r\nContent-Type: application/json\r\n");
+    if wait > 0.0 {
+        let _ = write!(out, "Retry-After: {wait:.3}\r\n");
+    }
+    if !keep {
+        let _ = write!(out, "Connection: close\r\n");
+    }
+    let _ = write!(out, "Content-Length: {length}\r\n\r\n{body}");
+    out
+}
+
+pub fn get(path: &str, host: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
+}
--- /dev/null
+++ b/crates/dunepond/src/list.rs
@@ -0,0 +1,253 @@
+//! Discovery: the list of nodes, whole at first and after each break, then by a watch on what changes.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use dunepond_decide::{Listed, NodeId, Standing};
+use dunepond_settings::{Bad, Bounds, Fields};
+use log::{debug, info, warn};
+use serde_json::Value;
+
+use crate::World;
+use crate::buffers::{Buffer, Outflow, Pool};
+use crate::clock::{Alarms, Due, Key};
+use crate::ending::Ending;
+use crate::http::{self, Message};
+use crate::servers::{self, Listing};
+
+/// How long a watch may wait: short, so that an agent that has gone silent is noticed soon.
+const WATCH_MS: u64 = 5000;
+/// How long after its time an answer is given up.
+const OVERDUE: f64 = 1.0;
+/// Before a call to an agent that is down is made again: at first, and at most.
+const AGAIN: (f64, f64) = (0.1, 1.0);
+
+/// A list, or what changed in it.
+pub struct News {
+    pub whole: bool,
+    pub rows: Vec<(Listed, Listing)>,
+}
+
+struct Talk {
+    stream: Rc<TcpStream>,
+    token: RegistrationToken,
+    input: Option<Buffer>,
+    message: Option<Message>,
+    out: Outflow,
+}
+
+pub struct Agent {
+    handle: LoopHandle<'static, World>,
+    pool: Pool,
+    address: SocketAddr,
+    nodes: HashMap<String, NodeId>,
+    zones: Vec<String>,
+    talk: Option<Talk>,
+    alarm: Option<Key>,
+    /// The version to watch from; none before a whole list has come over this connection.
+    seq: Option<u64>,
+    pause: f64,
+}
+
+impl Agent {
+    pub fn new(
+        handle: LoopHandle<'static, World>,
+        pool: &Pool,
+        address: SocketAddr,
+        bounds: &Bounds,
+    ) -> Self {
+        let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
+        let (talk, alarm, seq, pause) = (None, None, None, AGAIN.0);
+        Self { handle, pool, address, nodes, zones, talk, alarm, seq, pause }
+    }
+
+    pub fn call(&mut self, now: f64, alarms: &mut Alarms) {
+        let (handle, pool) = (self.handle.clone(), self.pool.clone());
+        let address = self.address;
+        let open = move || -> Result<Talk, Ending> {
+            let stream = Rc::new(servers::open(address)?);
+            let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+            let token = handle.insert_source(source, |ready, _, world| {
+                world.agent_ready(ready.readable);
+                Ok(PostAction::Continue)
+            });
+            let token = token.map_err(|_| Ending::NoMeans)?;
+            Ok(Talk { stream, token, input: None, message: None, out: Outflow::new(&pool) })
+        };
+        match open() {
+            Ok(talk) => {
+                self.talk = Some(talk);
+                self.seq = None;
+                self.ask(now, alarms);
+            }
+            Err(ending) => self.end(now, ending, alarms),
+        }
+    }
+
+    fn ask(&mut self, now: f64, alarms: &mut Alarms) {
+        let Some(talk) = &mut self.talk else { return };
+        let (path, wait) = match self.seq {
+            None => ("/v1/endpoints".to_string(), 0),
+            Some(seq) => (format!("/v1/endpoints?index={seq}&wait={WATCH_MS}"), WATCH_MS),
+        };
+        talk.out.put(&http::get(&path, &self.address.to_string()));
+        alarms.unset(self.alarm.take());
+        self.alarm = Some(alarms.set(now + wait as f64 / 1000.0 + OVERDUE, Due::Agent));
+        self.write(now, alarms);
+    }
+
+    fn write(&mut self, now: f64, alarms: &mut Alarms) {
+        let Some(talk) = &mut self.talk else { return };
+        match talk.out.flush(&*talk.stream) {
+            // Not up yet.
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => {}
+            Err(e) => self.end(now, Ending::of(&e), alarms),
+            Ok(()) => {}
+        }
+    }
+
+    /// The agent's time is up: its answer's, or that of the pause after it had gone.
+    pub fn due(&mut self, now: f64, alarms: &mut Alarms) {
+        self.alarm = None;
+        match self.talk {
+            Some(_) => self.end(now, Ending::Stalled, alarms),
+            None => self.call(now, alarms),
+        }
+    }
+
+    /// The one way a connection to the agent goes; the last list holds until the next one.
+    fn end(&mut self, now: f64, ending: Ending, alarms: &mut Alarms) {
+        if let Some(talk) = self.talk.take() {
+            self.handle.remove(talk.token);
+        }
+        alarms.unset(self.alarm.take());
+        warn!("discovery {}: connection {ending}; the last list holds", self.address);
+        self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
+        self.pause = (2.0 * self.pause).min(AGAIN.1);
+    }
+
+    pub fn ready(&mut self, now: f64, readable: bool, alarms: &mut Alarms) -> Vec<News> {
+        let mut news = Vec::new();
+        self.write(now, alarms);
+        while readable && let Some(talk) = &mut self.talk {
+            let input = talk.input.get_or_insert_with(|| self.pool.take());
+            match input.read_from(&*talk.stream) {
+                Ok(0) => self.end(now, Ending::Closed, alarms),
+                Ok(_) => {
+                    while let Some(one) = self.decode(now, alarms) {
+                        news.push(one);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    if input.is_empty() {
+                        talk.input = None;
+                    }
+                    break;
+                }
+                Err(e) => self.end(now, Ending::of(&e), alarms),
+            }
+        }
+        news
+    }
+
+    /// Takes one whole answer out of what has come, and asks on.
+    fn decode(&mut self, now: f64, alarms: &mut Alarms) -> Option<News> {
+        let talk = self.talk.as_mut()?;
+        let input = talk.input.as_mut()?;
+        let come = match &mut talk.message {
+            Some(message) => message.take(input, &self.pool),
+            None => match http::response(input) {
+                Ok(None) => return None,
+                Ok(Some(head)) => talk.message.insert(Message::after(head)).take(input, &self.pool),
+                Err(refusal) => Err(refusal),
+            },
+        };
+        let message = match come {
+            Ok(false) => return None,
+            Ok(true) => talk.message.take()?,
+            Err(refusal) => {
+                warn!("discovery: {}", refusal.why);
+                self.end(now, Ending::Garbled, alarms);
+                return None;
+            }
+        };
+        let text = if message.head.status == 200 { message.text() } else { b"null" };
+        let list = serde_json::from_slice::<Value>(text).ok().filter(Value::is_object);
+        let Some(list) = list else {
+            warn!("discovery: answered {} without a list", message.head.status);
+            self.end(now, Ending::Garbled, alarms);
+            return None;
+        };
+        let news = match self.read(&list) {
+            Ok((seq, news)) => {
+                self.seq = Some(seq);
+                news
+            }
+            Err(Bad(why)) => {
+                warn!("discovery: {why}");
+                self.end(now, Ending::Garbled, alarms);
+                return None;
+            }
+        };
+        self.pause = AGAIN.0;
+        if !news.rows.is_empty() {
+            debug!("discovery: {} lines, whole: {}", news.rows.len(), news.whole);
+        }
+        if message.head.keep {
+            self.ask(now, alarms)
+        } else {
+            self.end(now, Ending::Closed, alarms)
+        }
+        Some(news)
+    }
+
+    /// Reads a list; a line that will not do is named and skipped.
+    pub fn read(&mut self, list: &Value) -> Result<(u64, News), Bad> {
+        let list = Fields::of("list", list)?;
+        let (seq, whole) = (list.count("seq")?, list.mark("whole")?);
+        let mut rows = Vec::new();
+        for row in list.list("hosts")? {
+            match self.row(row) {
+                Ok(row) => rows.push(row),
+                Err(Bad(why)) => warn!("discovery: a line is skipped: {why}"),
+            }
+        }
+        Ok((seq, News { whole, rows }))
+    }
+
+    fn row(&mut self, row: &Value) -> Result<(Listed, Listing), Bad> {
+        let row = Fields::of("hosts", row)?;
+        let host = row.text("host")?;
+        let standing = match row.text("health")? {
+            "ready" => Standing::Active,
+            "draining" => Standing::Draining,
+            "gone" => Standing::Gone,
+            _ => return Err(row.bad("health", "unknown word")),
+        };
+        let gone = standing == Standing::Gone;
+        let dial: Option<SocketAddr> = match row.optional_text("dial")? {
+            Some(dial) => Some(dial.parse().map_err(|_| row.bad("dial", "not an address:port"))?),
+            None if gone => None,
+            None => return Err(row.bad("dial", "missing")),
+        };
+        let cell = row.count("block")? as usize;
+        let site = row.optional_text("site")?.unwrap_or_default();
+        let started = row.number_or("born_ms", 0.0)? / 1000.0;
+        let zone = self.zones.iter().position(|zone| zone == site).unwrap_or_else(|| {
+            self.zones.push(site.to_string());
+            self.zones.len() - 1
+        });
+        let next = self.nodes.len();
+        let node = *self.nodes.entry(host.to_string()).or_insert_with(|| {
+            info!("discovery: node {next} is {host} at {}", dial.map_or("?".to_string(), |d| d.to_string()));
+            next
+        });
+        let host = host.to_string();
+        Ok((Listed { node, cell, zone, standing, started }, Listing { host, dial, cell, started, gone }))
+    }
+}
--- /dev/null
+++ b/crates/dunepond/src/main.rs
@@ -0,0 +1,232 @@
+//! A dunepond broker: the loop that its peers' sockets and its clock call into, and its signals.
+
+mod buffers;
+mod clients;
+mod clock;
+mod config;
+mod desk;
+mod ending;
+mod frames;
+mod http;
+mod list;
+mod logger;
+mod servers;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use dunepond_decide::{Broker, ScanId};
+use dunepond_settings::Bad;
+use log::{error, info};
+
+use buffers::Pool;
+use clients::{Came, Clients};
+use clock::{Clock, Due};
+use config::Start;
+use desk::Desk;
+use list::{Agent, News};
+use servers::Servers;
+
+/// After SIGTERM new connections come for a while, and clients go on using those that they have. By the
+/// first time all of those have been told to close, by the second no new one comes any more.
+const STILL_USED: f64 = 0.45;
+const STILL_COMING: f64 = 0.65;
+
+/// All that the loop's callbacks work on.
+pub struct World {
+    clock: Clock,
+    broker: Broker,
+    desk: Desk,
+    agent: Agent,
+    told_to_end: Option<f64>,
+    over: bool,
+}
+
+impl World {
+    /// The clock stands still during a call.
+    fn tick(&mut self) -> f64 {
+        self.desk.now = self.clock.now();
+        self.desk.now
+    }
+
+    pub fn accept(&mut self) {
+        let now = self.tick();
+        self.desk.clients.accept(now, &mut self.desk.alarms);
+        self.settle();
+    }
+
+    pub fn client_ready(&mut self, id: usize, readable: bool) {
+        let now = self.tick();
+        self.desk.clients.ready(now, id, readable, &mut self.desk.alarms);
+        self.desk.clients.again.push(id);
+        self.settle();
+    }
+
+    pub fn link_ready(&mut self, id: usize, readable: bool) {
+        let now = self.tick();
+        self.desk.servers.ready(now, id, readable, &mut self.desk.alarms);
+        self.settle();
+    }
+
+    pub fn agent_ready(&mut self, readable: bool) {
+        let now = self.tick();
+        for news in self.agent.ready(now, readable, &mut self.desk.alarms) {
+            self.listed(news);
+        }
+        self.settle();
+    }
+
+    fn listed(&mut self, news: News) {
+        let now = self.desk.now;
+        let mut listed = Vec::with_capacity(news.rows.len());
+        for (row, listing) in news.rows {
+            self.desk.servers.listed(now, row.node, listing, &mut self.desk.alarms);
+            listed.push(row);
+        }
+        self.desk.clients.ready |= !listed.is_empty();
+        self.broker.listed(&mut self.desk, news.whole, &listed);
+    }
+
+    fn client_left(&mut self, scan: ScanId) {
+        self.desk.left(scan);
+        self.broker.client_left(&mut self.desk, scan);
+    }
+
+    /// Carries on until nothing is left to tell: requests that have been read, orders to be written, and
+    /// ends that came while the module was in a call, as its calls never nest.
+    fn settle(&mut self) {
+        loop {
+            let now = self.desk.now;
+            self.desk.servers.flush(now, &mut self.desk.alarms);
+            if let Some(back) = self.desk.servers.back.pop_front() {
+                let scan = back.ended.scan;
+                if let Some(ended) = self.desk.book(back) {
+                    self.broker.ended(&mut self.desk, ended);
+                    self.desk.release(scan);
+                }
+            } else if let Some(client) = self.desk.clients.again.pop() {
+                match self.desk.clients.next(now, client, &mut self.desk.alarms) {
+                    Came::Scan(asked) => {
+                        if let Some(scan) = self.desk.take(client, asked) {
+                            self.broker.scan(&mut self.desk, scan);
+                        }
+                    }
+                    Came::Left(Some(scan)) => self.client_left(scan),
+                    Came::Left(None) | Came::Nothing => {}
+                }
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// Does what has come due.
+    fn ring(&mut self) {
+        let now = self.tick();
+        while let Some(due) = self.desk.alarms.take_due(now) {
+            match due {
+                Due::Wake => self.broker.wake(&mut self.desk),
+                Due::ScanEnds(scan) => {
+                    if self.desk.scan_ends(scan) {
+                        self.settle();
+                        self.desk.overdue(scan);
+                        self.broker.client_left(&mut self.desk, scan);
+                    }
+                }
+                Due::LinkUp(id) => self.desk.servers.not_up(now, id, &mut self.desk.alarms),
+                Due::LinkIdle(id) => self.desk.servers.idle(now, id, &mut self.desk.alarms),
+                Due::ClientSlow(id) => {
+                    if let Some(scan) = self.desk.clients.slow(now, id, &mut self.desk.alarms) {
+                        self.client_left(scan);
+                    }
+                }
+                Due::Agent => self.agent.due(now, &mut self.desk.alarms),
+                Due::Accept => self.desk.clients.resume(),
+                Due::Drain => self.drain(),
+            }
+            self.settle();
+        }
+    }
+
+    fn told_to_end(&mut self) {
+        let now = self.tick();
+        if self.told_to_end.is_none() {
+            info!("told to end: what was taken is still answered");
+            self.told_to_end = Some(now);
+            self.desk.clients.leaving = true;
+            self.drain();
+        }
+    }
+
+    /// On the way to the end: first all is served as before, then connections close with their answers,
+    /// then no new one is taken.
+    fn drain(&mut self) {
+        let now = self.desk.now;
+        let since = now - self.told_to_end.unwrap_or(now);
+        if since < STILL_USED {
+            self.desk.alarms.set(now + STILL_USED - since, Due::Drain);
+        } else if since < STILL_COMING {
+            self.desk.clients.close_idle(&mut self.desk.alarms);
+            self.desk.alarms.set(now + STILL_COMING - since, Due::Drain);
+        } else {
+            self.desk.clients.close_listener(now, &mut self.desk.alarms);
+            self.settle();
+            self.over = true;
+        }
+    }
+}
+
+fn serve(start: Start) -> Result<(), Bad> {
+    let failed = |what: &str, why: &dyn std::fmt::Display| Bad(format!("{what}: {why}"));
+    let mut event_loop = EventLoop::try_new().map_err(|e| failed("loop", &e))?;
+    let handle = event_loop.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| failed("signals", &e))?;
+    let signals = handle.insert_source(signals, |_, _, world: &mut World| world.told_to_end());
+    signals.map_err(|e| failed("signals", &e.error))?;
+    let (pool, bounds) = (Pool::default(), Rc::new(start.bounds));
+    let mut agent = Agent::new(handle.clone(), &pool, start.discovery, &bounds);
+    // A list that cannot be read is none: discovery will bring another.
+    let known = agent.read(&start.known).ok();
+    let listener = clients::listen(start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
+    let local = listener.local_addr().map_err(|e| failed("GW_LISTEN", &e))?;
+    let clients = Clients::new(handle.clone(), &pool, bounds.clone(), start.most_clients, listener);
+    let clients = clients.map_err(|e| failed("GW_LISTEN", &e))?;
+    let servers = Servers::new(handle, &pool, bounds.clone(), start.most_links);
+    let desk = Desk::new(&start.deployment, bounds, clients, servers);
+    let broker = Broker::new(start.deployment);
+    let clock = Clock::start();
+    let mut world = World { clock, broker, desk, agent, told_to_end: None, over: false };
+    let now = world.tick();
+    if let Some((_, news)) = known {
+        world.listed(news);
+    }
+    world.agent.call(now, &mut world.desk.alarms);
+    info!("listening on {local}");
+    while !(world.over && world.desk.clients.count() == 0) {
+        let wait = world.desk.alarms.until_next(world.clock.now());
+        event_loop.dispatch(wait, &mut world).map_err(|e| failed("loop", &e))?;
+        world.ring();
+    }
+    info!("ended");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let start = match config::read(|name| std::env::var(name).ok()) {
+        Ok(start) => start,
+        Err(Bad(line)) => {
+            eprintln!("dunepond: {line}");
+            return ExitCode::FAILURE;
+        }
+    };
+    logger::start(&start.name, start.level);
+    match serve(start) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Bad(line)) => {
+            error!("{line}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/dunepond/src/servers.rs
@@ -0,0 +1,440 @@
+//! The nodes: their connections, the frames that go out on them and the ends that come back.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use dunepond_decide::{End, Ended, NodeId, ScanId};
+use dunepond_settings::Bounds;
+use log::{debug, info, warn};
+use slab::Slab;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::World;
+use crate::buffers::{Buffer, Outflow, Pool, SIZE};
+use crate::clock::{Alarms, Due, Key};
+use crate::ending::Ending;
+use crate::frames::{self, Said, Word};
+
+/// A connection that has so much unwritten takes nothing any more: its node would have to hold more calls
+/// than it may.
+const CLOGGED: usize = 32 * SIZE;
+/// We close an idle connection at this share of the time at which the node does, so that no frame crosses.
+const IN_TIME: f64 = 0.9;
+
+/// A part on its way: which dispatch it is, and what its frame needs.
+pub struct Parcel {
+    pub scan: ScanId,
+    pub part: usize,
+    pub shot: usize,
+    pub id: Rc<str>,
+    pub seg: usize,
+    pub until: f64,
+    pub text: Rc<str>,
+}
+
+/// A part that a connection carries.
+struct Out {
+    parcel: Parcel,
+    sent: f64,
+    /// Parts of one frame are one call.
+    call: u64,
+    /// Where its frame ends in what the connection has to write, once it is framed. A connection that is
+    /// not up, or is stuck, frames nothing: what waits on it can be given up without a trace.
+    to: Option<u64>,
+}
+
+struct Link {
+    node: NodeId,
+    stream: Rc<TcpStream>,
+    token: RegistrationToken,
+    began: f64,
+    up: bool,
+    /// Nothing new goes out on it; it is closed once nothing is out.
+    retired: bool,
+    alarm: Option<Key>,
+    input: Option<Buffer>,
+    out: Outflow,
+    carried: VecDeque<Out>,
+    calls: u64,
+}
+
+#[derive(Default)]
+struct Server {
+    host: String,
+    dial: Option<SocketAddr>,
+    cell: usize,
+    started: f64,
+    links: Vec<usize>,
+    /// Dispatched in this call and not yet framed.
+    batch: Vec<Parcel>,
+}
+
+/// A dispatch that is over, with the value that it brought.
+pub struct Back {
+    pub ended: Ended,
+    pub value: Option<String>,
+}
+
+pub struct Servers {
+    handle: LoopHandle<'static, World>,
+    pool: Pool,
+    servers: Vec<Server>,
+    links: Slab<Link>,
+    most_links: usize,
+    bounds: Rc<Bounds>,
+    /// Nodes with something to frame.
+    batched: Vec<NodeId>,
+    /// Ends that the module has not been told yet: it may be in the middle of the call that caused them.
+    pub back: VecDeque<Back>,
+}
+
+impl Out {
+    fn back(self, node: NodeId, end: End, now: f64, value: Option<String>) -> Back {
+        let Parcel { scan, part, shot, .. } = self.parcel;
+        Back { ended: Ended { scan, part, shot, node, end, took: now - self.sent }, value }
+    }
+}
+
+impl Parcel {
+    fn key(&self) -> (ScanId, usize, usize) {
+        (self.scan, self.part, self.shot)
+    }
+
+    fn unsent(&self, node: NodeId, end: End) -> Back {
+        let ended = Ended { scan: self.scan, part: self.part, shot: self.shot, node, end, took: 0.0 };
+        Back { ended, value: None }
+    }
+}
+
+impl Link {
+    /// Calls that are out, each in one stretch of what is carried.
+    fn calls_out(&self) -> usize {
+        let mut last = None;
+        self.carried.iter().filter(|o| last.replace(o.call) != Some(o.call)).count()
+    }
+
+    /// Frames what waits, as long as what is framed goes out.
+    fn write(&mut self, now: f64) -> io::Result<()> {
+        loop {
+            while self.out.waiting() < SIZE
+                && let Some(call) = self.carried.iter().find(|o| o.to.is_none()).map(|o| o.call)
+            {
+                let parts = self.carried.iter().filter(|o| o.call == call).map(|o| &o.parcel);
+                let wait = |p: &Parcel| ((p.until - now).max(0.0) * 1000.0) as u64;
+                self.out.put(&frames::call(parts.map(|p| (&*p.id, p.seg, wait(p), &*p.text))));
+                let to = Some(self.out.end());
+                self.carried.iter_mut().filter(|o| o.call == call).for_each(|o| o.to = to);
+            }
+            self.out.flush(&*self.stream)?;
+            if !self.out.is_empty() || self.carried.iter().all(|o| o.to.is_some()) {
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl Servers {
+    pub fn new(
+        handle: LoopHandle<'static, World>,
+        pool: &Pool,
+        bounds: Rc<Bounds>,
+        most_links: usize,
+    ) -> Self {
+        let (pool, links) = (pool.clone(), Slab::new());
+        let (servers, batched, back) = (Vec::new(), Vec::new(), VecDeque::new());
+        Self { handle, pool, servers, links, most_links, bounds, batched, back }
+    }
+
+    /// What the list says of a node, which keeps its index for good.
+    pub fn listed(&mut self, now: f64, node: NodeId, row: Listing, alarms: &mut Alarms) {
+        if node >= self.servers.len() {
+            self.servers.resize_with(node + 1, Server::default);
+        }
+        let server = &mut self.servers[node];
+        let moved = server.dial.is_some() && server.dial != row.dial;
+        let replaced = row.started > server.started;
+        server.host = row.host;
+        server.dial = row.dial;
+        server.cell = row.cell;
+        server.started = row.started;
+        for id in server.links.clone() {
+            let link = &mut self.links[id];
+            if replaced && link.began < row.started {
+                self.end(now, id, Ending::Replaced, alarms);
+            } else if moved || row.gone {
+                link.retired = true;
+                self.rest(now, id, alarms);
+            }
+        }
+    }
+
+    pub fn holds(&self, node: NodeId, seg: usize, cells: usize, holders: usize) -> bool {
+        let cell = self.servers.get(node).map(|s| s.cell % cells);
+        (0..holders).any(|j| cell == Some((seg + j) % cells))
+    }
+
+    pub fn name(&self, node: NodeId) -> &str {
+        self.servers.get(node).map_or("?", |s| &s.host)
+    }
+
+    pub fn dispatch(&mut self, node: NodeId, parcel: Parcel) {
+        self.servers[node].batch.push(parcel);
+        self.batched.push(node);
+    }
+
+    /// Frames what the last call dispatched and writes it.
+    pub fn flush(&mut self, now: f64, alarms: &mut Alarms) {
+        for node in std::mem::take(&mut self.batched) {
+            let mut batch = std::mem::take(&mut self.servers[node].batch).into_iter().peekable();
+            while batch.peek().is_some() {
+                let parcels: Vec<_> = batch.by_ref().take(self.bounds.parts_a_call).collect();
+                self.call(now, node, parcels, alarms);
+            }
+            for id in self.servers[node].links.clone() {
+                self.write(now, id, alarms);
+            }
+        }
+    }
+
+    fn call(&mut self, now: f64, node: NodeId, parcels: Vec<Parcel>, alarms: &mut Alarms) {
+        let most = self.bounds.calls_a_connection;
+        let links = &self.servers[node].links;
+        let open =
+            links.iter().copied().find(|id| !self.links[*id].retired && self.links[*id].calls_out() < most);
+        let id = match open.map_or_else(|| self.connect(now, node, alarms), Ok) {
+            Ok(id) => id,
+            Err(ending) => {
+                debug!("node {}: connection {ending}", self.name(node));
+                return self.back.extend(parcels.iter().map(|p| p.unsent(node, ending.end(false))));
+            }
+        };
+        let link = &mut self.links[id];
+        link.calls += 1;
+        let call = link.calls;
+        link.carried.extend(parcels.into_iter().map(|parcel| Out { parcel, sent: now, call, to: None }));
+        if link.up {
+            alarms.unset(link.alarm.take());
+        }
+    }
+
+    fn connect(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) -> Result<usize, Ending> {
+        let dial = self.servers[node].dial.ok_or(Ending::NoMeans)?;
+        if self.links.len() >= self.most_links {
+            return Err(Ending::NoMeans);
+        }
+        let stream = Rc::new(open(dial)?);
+        let entry = self.links.vacant_entry();
+        let id = entry.key();
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = self.handle.insert_source(source, move |ready, _, world| {
+            world.link_ready(id, ready.readable);
+            Ok(PostAction::Continue)
+        });
+        let token = token.map_err(|_| Ending::NoMeans)?;
+        entry.insert(Link {
+            node,
+            stream,
+            token,
+            began: now,
+            up: false,
+            retired: false,
+            alarm: Some(alarms.set(now + self.bounds.connect_timeout, Due::LinkUp(id))),
+            input: None,
+            out: Outflow::new(&self.pool),
+            carried: VecDeque::new(),
+            calls: 0,
+        });
+        self.servers[node].links.push(id);
+        debug!("node {}: opening a connection", self.name(node));
+        Ok(id)
+    }
+
+    /// Something can be read or written, or the connection has come up or failed.
+    pub fn ready(&mut self, now: f64, id: usize, readable: bool, alarms: &mut Alarms) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        if !link.up {
+            match link.stream.take_error() {
+                Ok(Some(e)) | Err(e) => return self.end(now, id, Ending::of(&e), alarms),
+                Ok(None) if link.stream.peer_addr().is_err() => return,
+                Ok(None) => {}
+            }
+            link.up = true;
+            alarms.unset(link.alarm.take());
+        }
+        self.write(now, id, alarms);
+        if readable && self.links.contains(id) {
+            self.read(now, id, alarms);
+        }
+        self.rest(now, id, alarms);
+    }
+
+    fn write(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        let Some(link) = self.links.get_mut(id).filter(|l| l.up) else { return };
+        match link.write(now) {
+            Err(e) => self.end(now, id, Ending::of(&e), alarms),
+            Ok(()) if link.out.waiting() > CLOGGED => self.end(now, id, Ending::Clogged, alarms),
+            Ok(()) => {}
+        }
+    }
+
+    fn read(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        loop {
+            let link = &mut self.links[id];
+            let input = link.input.get_or_insert_with(|| self.pool.take());
+            let ending = match input.read_from(&*link.stream) {
+                Ok(0) => Some(Ending::Closed),
+                Ok(_) => self.frames(now, id),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => None,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if input.is_empty() {
+                        link.input = None;
+                    }
+                    return;
+                }
+                Err(e) => Some(Ending::of(&e)),
+            };
+            if let Some(ending) = ending {
+                return self.end(now, id, ending, alarms);
+            }
+        }
+    }
+
+    /// Takes the whole frames out of what has come.
+    fn frames(&mut self, now: f64, id: usize) -> Option<Ending> {
+        let link = &mut self.links[id];
+        let input = link.input.as_mut()?;
+        loop {
+            let used = match frames::read(input.held()) {
+                Ok(None) => return None,
+                Err(why) => {
+                    warn!("node {}: {why}", self.servers[link.node].host);
+                    return Some(Ending::Garbled);
+                }
+                Ok(Some((Said::Complaint(words), _))) => {
+                    warn!("node {}: {}", self.servers[link.node].host, words.escape_debug());
+                    return Some(Ending::Complaint);
+                }
+                Ok(Some((Said::Ended { id, word, value }, used))) => {
+                    // What is no longer out was given up; its end has been told.
+                    if let Some(at) = link.carried.iter().position(|o| *o.parcel.id == *id)
+                        && let Some(o) = link.carried.remove(at)
+                    {
+                        let (end, value) = match word {
+                            Word::Hit => (End::Completed, Some(value.to_string())),
+                            Word::Fault => (End::Error, None),
+                            Word::Overload => (End::Full, None),
+                        };
+                        self.back.push_back(o.back(link.node, end, now, value));
+                    }
+                    used
+                }
+            };
+            input.consume(used);
+        }
+    }
+
+    /// Gives one dispatch up: never sent if it still can be kept here, taken back at the node otherwise.
+    pub fn give_up(
+        &mut self,
+        now: f64,
+        node: NodeId,
+        key: (ScanId, usize, usize),
+        end: End,
+        alarms: &mut Alarms,
+    ) {
+        let Some(server) = self.servers.get_mut(node) else { return };
+        if let Some(at) = server.batch.iter().position(|p| p.key() == key) {
+            return self.back.push_back(server.batch.remove(at).unsent(node, end));
+        }
+        for id in server.links.clone() {
+            let link = &mut self.links[id];
+            let Some(at) = link.carried.iter().position(|o| o.parcel.key() == key) else { continue };
+            let Some(out) = link.carried.remove(at) else { continue };
+            match out.to {
+                Some(to) if to <= link.out.written() => {
+                    link.out.put(&frames::give_up(&out.parcel.id));
+                    self.write(now, id, alarms);
+                }
+                // Its frame must not arrive after the scan's answer, and cannot be cut out of the stream.
+                Some(_) => self.end(now, id, Ending::CutShort, alarms),
+                None => {}
+            }
+            self.back.push_back(out.back(node, end, now, None));
+            return self.rest(now, id, alarms);
+        }
+    }
+
+    pub fn close_idle(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) {
+        for id in self.servers.get(node).map(|s| s.links.clone()).unwrap_or_default() {
+            if self.links[id].carried.is_empty() {
+                self.end(now, id, Ending::Unused, alarms);
+            }
+        }
+    }
+
+    /// Sets the time at which a connection that carries nothing is closed.
+    fn rest(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        let Some(link) = self.links.get_mut(id).filter(|l| l.up && l.carried.is_empty()) else { return };
+        if link.retired {
+            return self.end(now, id, Ending::Unused, alarms);
+        }
+        if link.alarm.is_none() {
+            link.alarm = Some(alarms.set(now + IN_TIME * self.bounds.idle_close, Due::LinkIdle(id)));
+        }
+    }
+
+    pub fn not_up(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        self.end(now, id, Ending::NeverUp, alarms);
+    }
+
+    pub fn idle(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        self.end(now, id, Ending::Unused, alarms);
+    }
+
+    /// The one way a connection goes: what it carried is told by how it ended.
+    fn end(&mut self, now: f64, id: usize, ending: Ending, alarms: &mut Alarms) {
+        let Some(link) = self.links.try_remove(id) else { return };
+        alarms.unset(link.alarm);
+        self.handle.remove(link.token);
+        let server = &mut self.servers[link.node];
+        server.links.retain(|l| *l != id);
+        match link.carried.len() {
+            0 => debug!("node {}: connection {ending}", server.host),
+            out => info!("node {}: connection {ending} with {out} parts out", server.host),
+        }
+        for out in link.carried {
+            let end = ending.end(out.to.is_some_and(|to| to <= link.out.written()));
+            self.back.push_back(out.back(link.node, end, now, None));
+        }
+    }
+}
+
+/// A line of the list, as far as connections go by it.
+pub struct Listing {
+    pub host: String,
+    pub dial: Option<SocketAddr>,
+    pub cell: usize,
+    pub started: f64,
+    pub gone: bool,
+}
+
+/// Starts a connection; whether it comes up is told later.
+pub fn open(dial: SocketAddr) -> Result<TcpStream, Ending> {
+    let start = || -> io::Result<Socket> {
+        let socket = Socket::new(Domain::for_address(dial), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        Ok(socket)
+    };
+    let socket = start().map_err(|_| Ending::NoMeans)?;
+    match socket.connect(&dial.into()) {
+        Ok(()) => Ok(socket.into()),
+        Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) => Ok(socket.into()),
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Err(Ending::Refused),
+        Err(_) => Err(Ending::NoMeans),
+    }
+}
