--- /dev/null
+++ b/crates/dunepond/examples/toy_store.rs
@@ -0,0 +1,97 @@
+//! A toy store to try the broker with: a list at 127.0.0.1:8500, and three nodes that hold four shards.
+//!
+//! `cargo run --example toy_store` starts it; `-- hang 1` lets node 1 take parts and answer none.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+const NODES: usize = 3;
+
+fn address(node: usize) -> String {
+    format!("127.0.0.1:{}", 9001 + node)
+}
+
+/// Answers each part with a value made of its id and its text.
+fn node(mut stream: TcpStream, name: &str, hangs: bool) -> io::Result<()> {
+    loop {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length)?;
+        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        stream.read_exact(&mut frame)?;
+        let Some((b'A', mut rest)) = frame.split_first() else { continue };
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            let line = String::from_utf8_lossy(&rest[..end]).into_owned();
+            let words: Vec<_> = line.split(' ').collect();
+            let [id, shard, _, text] = words[..] else { return Ok(()) };
+            let Some(after) = text.parse::<usize>().ok().and_then(|length| rest.get(end + 1 + length..))
+            else {
+                return Ok(());
+            };
+            let text = String::from_utf8_lossy(&rest[end + 1..rest.len() - after.len()]).into_owned();
+            rest = after;
+            println!("{name}: part {id} of shard {shard}");
+            if hangs {
+                continue;
+            }
+            thread::sleep(Duration::from_millis(20));
+            let answer = format!("E{id} hit 1 -\n{text} in shard {shard}, says {name}");
+            stream.write_all(&(answer.len() as u32).to_be_bytes())?;
+            stream.write_all(answer.as_bytes())?;
+        }
+    }
+}
+
+/// Answers with the whole list at once, and a watch, as nothing ever changes, after its wait.
+fn list(stream: TcpStream) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut stream = stream;
+    let line = |n: usize| {
+        let dial = address(n);
+        format!(
+            r#"{{"host":"node-{n}","dial":"{dial}","site":"here","class":"toy","block":{n},"health":"ready","share":1.0,"born_ms":0}}"#
+        )
+    };
+    loop {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if reader.read_line(&mut head)? == 0 {
+                return Ok(());
+            }
+        }
+        let wait = head.split_once("wait=").and_then(|w| w.1.split(' ').next()?.parse::<u64>().ok());
+        let lines =
+            if wait.is_some() { String::new() } else { (0..NODES).map(line).collect::<Vec<_>>().join(",") };
+        thread::sleep(Duration::from_millis(wait.unwrap_or(0)));
+        let body = format!(r#"{{"seq":1,"whole":{},"hosts":[{lines}]}}"#, wait.is_none());
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+    }
+}
+
+fn serve(
+    address: &str,
+    attend: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address)?;
+    println!("listening on {address}");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let attend = attend.clone();
+            thread::spawn(move || attend(stream));
+        }
+    });
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let words: Vec<_> = std::env::args().skip(1).collect();
+    let hangs = words.first().filter(|w| *w == "hang").and_then(|_| words.get(1)?.parse::<usize>().ok());
+    for n in 0..NODES {
+        serve(&address(n), move |stream| node(stream, &format!("node-{n}"), hangs == Some(n)))?;
+    }
+    serve("127.0.0.1:8500", list)?;
+    loop {
+        thread::park();
+    }
+}
--- a/crates/dunepond/src/buffers.rs
+++ b/crates/dunepond/src/buffers.rs
@@ -148,3 +148,52 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Takes a few bytes at a time, and nothing more once it is full.
+    struct Narrow(Vec<u8>, usize);
+
+    impl Write for Narrow {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            let count = bytes.len().min(999).min(self.1 - self.0.len());
+            if count == 0 {
+                return Err(io::ErrorKind::WouldBlock.into());
+            }
+            self.0.extend_from_slice(&bytes[..count]);
+            Ok(count)
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn what_is_put_comes_out_in_order_however_little_the_stream_takes() {
+        let pool = Pool::default();
+        let bytes: Vec<u8> = (0..3 * SIZE).map(|i| (i % 251) as u8).collect();
+        let mut out = Outflow::new(&pool);
+        bytes.chunks(10_000).for_each(|piece| out.put(piece));
+        let mut stream = Narrow(Vec::new(), SIZE);
+        out.flush(&mut stream).unwrap();
+        assert_eq!((out.written(), out.waiting()), (SIZE as u64, 2 * SIZE));
+        stream.1 = bytes.len();
+        out.flush(&mut stream).unwrap();
+        assert!(out.is_empty() && stream.0 == bytes);
+        assert_eq!(pool.free.borrow().len(), 3);
+    }
+
+    #[test]
+    fn a_buffer_read_to_its_end_makes_room_for_the_rest_of_a_message() {
+        let mut buffer = Pool::default().take();
+        let mut stream = &vec![7; SIZE + 10][..];
+        assert_eq!(buffer.read_from(&mut stream).unwrap(), SIZE);
+        assert!(buffer.is_full());
+        buffer.consume(100);
+        assert_eq!(buffer.read_from(&mut stream).unwrap(), 10);
+        assert_eq!(buffer.held().len(), SIZE - 90);
+    }
+}
--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -15,13 +15,15 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::World;
-use crate::buffers::{Buffer, Outflow, Pool};
+use crate::buffers::{Buffer, Outflow, Pool, SIZE};
 use crate::clock::{Alarms, Due, Key};
 use crate::ending::Ending;
 use crate::http::{self, Message, Refusal, refusal};
 
 /// Longest that a client may take over sending a request or taking an answer, once either has begun.
 const SLOW: f64 = 10.0;
+/// How long a client may take to close its side after its last answer.
+const PARTING: f64 = 1.0;
 /// How soon accepting is tried again after it has failed for want of means.
 const NO_MEANS: f64 = 0.05;
 const BACKLOG: i32 = 1024;
@@ -198,6 +200,13 @@
         }
     }
 
+    /// Somebody may be accepted again; not here, as this may be the listener's own callback.
+    fn make_room(&self, alarms: &mut Alarms) {
+        if self.paused {
+            alarms.set(0.0, Due::Accept);
+        }
+    }
+
     pub fn resume(&mut self) {
         if let Some((_, token)) = &self.listener
             && self.paused
@@ -214,10 +223,16 @@
         }
     }
 
-    /// From now on each connection ends with its answer, and those without a request at once.
-    pub fn close_idle(&mut self, alarms: &mut Alarms) {
+    /// From now on each connection ends with its answer; what idle ones have to say is read once more.
+    pub fn close_with_answers(&mut self) {
         self.closing = true;
-        for (_, id) in std::mem::take(&mut self.idle) {
+        self.again.extend(self.clients.iter().filter(|(_, c)| c.unasked()).map(|(id, _)| id));
+    }
+
+    /// Ends the connections on which nothing has been asked.
+    pub fn close_unasked(&mut self, alarms: &mut Alarms) {
+        let unasked: Vec<_> = self.clients.iter().filter(|(_, c)| c.unasked()).map(|(id, _)| id).collect();
+        for id in unasked {
             self.end(id, Ending::Unused, alarms);
         }
     }
@@ -275,6 +290,10 @@
     fn decode(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<Asked> {
         loop {
             let client = self.clients.get_mut(id)?;
+            // Who asks on and on and takes no answer waits until it does.
+            if client.out.waiting() > SIZE {
+                return None;
+            }
             let input = client.input.as_mut()?;
             let outcome = match &mut client.phase {
                 Phase::Head => match http::request(input) {
@@ -381,23 +400,24 @@
         }
         alarms.unset(client.alarm.take());
         if client.keep {
-            return self.rest(id);
+            return self.rest(id, alarms);
         }
         // Closed at once, with something unread, it would take the answer back.
         let _ = client.stream.shutdown(Shutdown::Write);
         client.phase = Phase::Parting;
-        client.alarm = Some(alarms.set(now + SLOW, Due::ClientSlow(id)));
+        client.alarm = Some(alarms.set(now + PARTING, Due::ClientSlow(id)));
     }
 
-    fn rest(&mut self, id: usize) {
+    fn rest(&mut self, id: usize, alarms: &mut Alarms) {
         self.unrest(id);
+        self.make_room(alarms);
         self.turns += 1;
         self.idle.insert((self.turns, id));
         self.clients[id].idle = Some(self.turns);
     }
 
     fn unrest(&mut self, id: usize) {
-        if let Some(turn) = self.clients[id].idle.take() {
+        if let Some(turn) = self.clients.get_mut(id).and_then(|c| c.idle.take()) {
             self.idle.remove(&(turn, id));
         }
     }
@@ -410,7 +430,7 @@
             return self.end(id, Ending::Stalled, alarms);
         }
         if client.input.is_none() && matches!(client.phase, Phase::Head) {
-            self.rest(id);
+            self.rest(id, alarms);
             return None;
         }
         client.keep = false;
@@ -425,7 +445,7 @@
         alarms.unset(client.alarm);
         self.handle.remove(client.token);
         debug!("client {id}: connection {ending}");
-        self.resume();
+        self.make_room(alarms);
         match client.phase {
             Phase::Held(scan) => Some(scan),
             _ => None,
@@ -437,6 +457,10 @@
     fn asking(&self) -> bool {
         matches!(self.phase, Phase::Head | Phase::Body(_))
     }
+
+    fn unasked(&self) -> bool {
+        matches!(self.phase, Phase::Head) && self.input.is_none() && self.out.is_empty()
+    }
 }
 
 fn complaint(why: &str) -> String {
--- a/crates/dunepond/src/desk.rs
+++ b/crates/dunepond/src/desk.rs
@@ -40,6 +40,8 @@
     cells: usize,
     holders: usize,
     dispatch_cap: usize,
+    /// The query timeouts of the table types.
+    timeouts: Vec<f64>,
     scans: HashMap<ScanId, InHand>,
     call_ids: HashSet<String>,
     last: ScanId,
@@ -69,6 +71,7 @@
             cells: site.cells,
             holders: site.holders,
             dispatch_cap: site.dispatch_cap,
+            timeouts: site.table_types.iter().map(|t| t.timeout).collect(),
             scans: HashMap::new(),
             call_ids: HashSet::new(),
             last: 0,
@@ -90,6 +93,8 @@
         }
         self.last += 1;
         let scan = self.last;
+        // No client waits longer, whatever it says, and nothing is held for longer.
+        let ends_at = asked.expires_at.min(self.now + self.timeouts[asked.table_type]);
         let segs: Vec<_> = asked.parts.iter().map(|p| p.seg).collect();
         let count = segs.len();
         self.held += 1 + count;
@@ -102,8 +107,8 @@
             segs,
             values: vec![None; count],
             shots: vec![Vec::new(); count],
-            ends_at: asked.expires_at,
-            alarm: Some(self.alarms.set(asked.expires_at, Due::ScanEnds(scan))),
+            ends_at,
+            alarm: Some(self.alarms.set(ends_at, Due::ScanEnds(scan))),
             out: 0,
             over: false,
             forgotten: false,
@@ -114,7 +119,7 @@
             id: scan,
             table_type: asked.table_type,
             customer: asked.customer,
-            expires_in: asked.expires_at - self.now,
+            expires_in: ends_at - self.now,
             resent: asked.resent,
             parts: asked.parts,
         })
@@ -124,7 +129,7 @@
     pub fn book(&mut self, back: Back) -> Option<Ended> {
         let Back { ended, value } = back;
         let in_hand = self.scans.get_mut(&ended.scan)?;
-        in_hand.out -= 1;
+        in_hand.out = in_hand.out.saturating_sub(1);
         debug!(
             "scan {}: part {} at {}: {:?} after {:.4}",
             in_hand.call_id,
@@ -188,6 +193,11 @@
         let in_hand = self.scans.get_mut(&scan).filter(|s| !s.over)?;
         in_hand.over = true;
         self.held -= 1 + in_hand.open_parts();
+        for (part, nodes) in in_hand.shots.iter().enumerate() {
+            for (shot, node) in nodes.iter().enumerate() {
+                self.servers.recall(self.now, *node, (scan, part, shot));
+            }
+        }
         Some(in_hand.client)
     }
 
@@ -251,11 +261,11 @@
     }
 
     fn throttle(&mut self, scan: ScanId, wait: f64) {
-        self.reply(scan, 503, "", wait);
+        self.reply(scan, 429, "", wait);
     }
 
     fn abandon(&mut self, scan: ScanId) {
-        self.reply(scan, 500, "", 0.0);
+        self.reply(scan, 502, "", 0.0);
     }
 
     fn forget(&mut self, scan: ScanId) {
--- a/crates/dunepond/src/ending.rs
+++ b/crates/dunepond/src/ending.rs
@@ -43,23 +43,14 @@
     }
 
     /// How a part ends that was out when its connection did: whether it may have run goes by whether the
-    /// last byte of its frame had been written.
+    /// last byte of its frame had been written, however the end came; the system reports a long silence or
+    /// a lost way on a connection that was up with the same errors as on one that never was.
     pub fn end(self, written: bool) -> End {
-        match self {
-            // These come before anything can be written.
-            Self::NoMeans | Self::Refused | Self::NeverUp => End::NoConnection,
-            Self::Reset
-            | Self::Closed
-            | Self::Garbled
-            | Self::Complaint
-            | Self::Clogged
-            | Self::CutShort
-            | Self::Replaced
-            | Self::Unused
-            | Self::Stalled => match written {
-                true => End::Dropped,
-                false => End::NoConnection,
-            },
+        match (self, written) {
+            // Our own lack must not be held against the node.
+            (Self::NoMeans, _) => End::NotSent,
+            (_, false) => End::NoConnection,
+            (_, true) => End::Dropped,
         }
     }
 }
@@ -82,3 +73,40 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case(Ending::NoMeans, End::NotSent, End::NotSent)]
+    #[case(Ending::Refused, End::NoConnection, End::Dropped)]
+    #[case(Ending::NeverUp, End::NoConnection, End::Dropped)]
+    #[case(Ending::Reset, End::NoConnection, End::Dropped)]
+    #[case(Ending::Closed, End::NoConnection, End::Dropped)]
+    #[case(Ending::Garbled, End::NoConnection, End::Dropped)]
+    #[case(Ending::Complaint, End::NoConnection, End::Dropped)]
+    #[case(Ending::Clogged, End::NoConnection, End::Dropped)]
+    #[case(Ending::CutShort, End::NoConnection, End::Dropped)]
+    #[case(Ending::Replaced, End::NoConnection, End::Dropped)]
+    #[case(Ending::Unused, End::NoConnection, End::Dropped)]
+    #[case(Ending::Stalled, End::NoConnection, End::Dropped)]
+    fn only_the_last_byte_of_its_frame_makes_a_part_one_that_may_have_run(
+        #[case] ending: Ending,
+        #[case] unwritten: End,
+        #[case] written: End,
+    ) {
+        assert_eq!((ending.end(false), ending.end(true)), (unwritten, written));
+    }
+
+    #[rstest]
+    #[case(io::ErrorKind::ConnectionRefused, Ending::Refused)]
+    #[case(io::ErrorKind::TimedOut, Ending::NeverUp)]
+    #[case(io::ErrorKind::ConnectionReset, Ending::Reset)]
+    #[case(io::ErrorKind::BrokenPipe, Ending::Reset)]
+    fn an_error_of_the_system_is_one_of_the_endings(#[case] kind: io::ErrorKind, #[case] ending: Ending) {
+        assert_eq!(Ending::of(&kind.into()), ending);
+    }
+}
--- a/crates/dunepond/src/frames.rs
+++ b/crates/dunepond/src/frames.rs
@@ -67,3 +67,39 @@
     };
     Ok(Some((said, 4 + length)))
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[test]
+    fn a_frame_is_read_once_its_last_byte_is_in() {
+        let bytes = [frame(b'E', b"c1.3 hit 7 -\nva\nlue"), frame(b'F', b"no")].concat();
+        let first = bytes.len() - 7;
+        (0..first).for_each(|count| assert_eq!(read(&bytes[..count]), Ok(None)));
+        let said = Said::Ended { id: "c1.3", word: Word::Hit, value: "va\nlue" };
+        assert_eq!(read(&bytes), Ok(Some((said, first))));
+        assert_eq!(read(&bytes[first..]), Ok(Some((Said::Complaint("no"), 7))));
+    }
+
+    #[rstest]
+    #[case::no_letter(&[0, 0, 0, 0])]
+    #[case::longer_than_any(&[0, 1, 0, 0])]
+    #[case::unknown_letter(&frame(b'Z', b""))]
+    #[case::no_line(&frame(b'E', b"c1.3 hit 7 -"))]
+    #[case::no_id(&frame(b'E', b" hit 7 -\n"))]
+    #[case::unknown_end(&frame(b'E', b"c1.3 perhaps 7 -\n"))]
+    #[case::not_text(&frame(b'E', b"c1.3 hit 7 -\n\xff"))]
+    fn a_frame_that_cannot_be_read_says_why(#[case] bytes: &[u8]) {
+        assert!(read(bytes).is_err());
+    }
+
+    #[test]
+    fn a_call_holds_a_line_and_the_text_for_each_part() {
+        let parts = [("c1.3", 3, 240, "q\u{e4}"), ("c1.4", 4, 240, "")];
+        let text = "Ac1.3 3 d=240 3\nq\u{e4}c1.4 4 d=240 0\n";
+        assert_eq!(call(parts.into_iter())[4..], *text.as_bytes());
+    }
+}
--- a/crates/dunepond/src/http.rs
+++ b/crates/dunepond/src/http.rs
@@ -263,3 +263,65 @@
 pub fn get(path: &str, host: &str) -> Vec<u8> {
     format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    /// Feeds a request in pieces of this size; gives what its body came to, or why it was refused.
+    fn fed(bytes: &[u8], pieces: usize) -> Result<Option<String>, u16> {
+        let pool = Pool::default();
+        let (mut input, mut message) = (pool.take(), None);
+        for piece in bytes.chunks(pieces) {
+            assert_eq!(input.read_from(piece).unwrap(), piece.len());
+            if message.is_none() {
+                message = request(&mut input).map_err(|r| r.status)?.map(Message::after);
+            }
+            if let Some(message) = &mut message
+                && message.take(&mut input, &pool).map_err(|r| r.status)?
+            {
+                return Ok(Some(String::from_utf8(message.text().to_vec()).unwrap()));
+            }
+        }
+        Ok(None)
+    }
+
+    const CHUNKED: &str = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    #[rstest]
+    #[case::by_length("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello".to_string(), Some("hello"))]
+    #[case::none("GET /a HTTP/1.1\r\n\r\n".to_string(), Some(""))]
+    #[case::chunks(format!("{CHUNKED}2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: 1\r\n\r\n"), Some("hello"))]
+    #[case::not_all(format!("{CHUNKED}2\r\nhe\r\n3\r\nllo\r\n0\r\n"), None)]
+    fn a_body_comes_to_the_same_in_any_pieces(
+        #[case] bytes: String,
+        #[case] body: Option<&str>,
+        #[values(1, 7, 1000)] pieces: usize,
+    ) {
+        assert_eq!(fed(bytes.as_bytes(), pieces).unwrap().as_deref(), body);
+    }
+
+    #[rstest]
+    #[case::endless_head(format!("GET /a HTTP/1.1\r\nA: {}", "x".repeat(HEAD)), 431)]
+    #[case::huge_chunk(format!("{CHUNKED}10001\r\n"), 413)]
+    #[case::many_chunks(format!("{CHUNKED}{}", format!("8000\r\n{}\r\n", "x".repeat(0x8000)).repeat(3)), 413)]
+    #[case::endless_size(format!("{CHUNKED}1;{}", "x".repeat(2 * HEAD)), 400)]
+    #[case::endless_trailer(format!("{CHUNKED}0\r\n{}", "x".repeat(2 * HEAD)), 400)]
+    #[case::overlong_chunk(format!("{CHUNKED}2\r\nhello\r\n"), 400)]
+    #[case::no_size(format!("{CHUNKED}zz\r\n"), 400)]
+    #[case::two_lengths("POST /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n".to_string(), 400)]
+    #[case::signed("POST /a HTTP/1.1\r\nContent-Length: +5\r\n\r\n".to_string(), 400)]
+    #[case::coded("POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n".to_string(), 501)]
+    fn what_exceeds_its_bounds_is_refused(#[case] bytes: String, #[case] status: u16) {
+        assert_eq!(fed(bytes.as_bytes(), 5000), Err(status));
+    }
+
+    #[test]
+    fn an_answer_tells_when_to_come_back_and_that_it_is_the_last() {
+        let text = String::from_utf8(answer(429, "", 0.25, false)).unwrap();
+        assert!(text.starts_with("HTTP/1.1 429 "));
+        assert!(text.contains("\r\nRetry-After: 0.250\r\n") && text.contains("\r\nConnection: close\r\n"));
+    }
+}
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -229,10 +229,9 @@
             "gone" => Standing::Gone,
             _ => return Err(row.bad("health", "unknown word")),
         };
-        let gone = standing == Standing::Gone;
         let dial: Option<SocketAddr> = match row.optional_text("dial")? {
             Some(dial) => Some(dial.parse().map_err(|_| row.bad("dial", "not an address:port"))?),
-            None if gone => None,
+            None if standing == Standing::Gone => None,
             None => return Err(row.bad("dial", "missing")),
         };
         let cell = row.count("block")? as usize;
@@ -248,6 +247,6 @@
             next
         });
         let host = host.to_string();
-        Ok((Listed { node, cell, zone, standing, started }, Listing { host, dial, cell, started, gone }))
+        Ok((Listed { node, cell, zone, standing, started }, Listing { host, dial, cell, started, standing }))
     }
 }
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -81,11 +81,14 @@
     fn listed(&mut self, news: News) {
         let now = self.desk.now;
         let mut listed = Vec::with_capacity(news.rows.len());
+        if news.whole {
+            self.desk.servers.listed_anew();
+        }
         for (row, listing) in news.rows {
             self.desk.servers.listed(now, row.node, listing, &mut self.desk.alarms);
             listed.push(row);
         }
-        self.desk.clients.ready |= !listed.is_empty();
+        self.desk.clients.ready = self.desk.servers.any_active();
         self.broker.listed(&mut self.desk, news.whole, &listed);
     }
 
@@ -168,11 +171,14 @@
         if since < STILL_USED {
             self.desk.alarms.set(now + STILL_USED - since, Due::Drain);
         } else if since < STILL_COMING {
-            self.desk.clients.close_idle(&mut self.desk.alarms);
+            self.desk.clients.close_with_answers();
+            self.settle();
+            self.desk.clients.close_unasked(&mut self.desk.alarms);
             self.desk.alarms.set(now + STILL_COMING - since, Due::Drain);
         } else {
             self.desk.clients.close_listener(now, &mut self.desk.alarms);
             self.settle();
+            self.desk.clients.close_unasked(&mut self.desk.alarms);
             self.over = true;
         }
     }
--- a/crates/dunepond/src/servers.rs
+++ b/crates/dunepond/src/servers.rs
@@ -7,7 +7,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use dunepond_decide::{End, Ended, NodeId, ScanId};
+use dunepond_decide::{End, Ended, NodeId, ScanId, Standing};
 use dunepond_settings::Bounds;
 use log::{debug, info, warn};
 use slab::Slab;
@@ -68,6 +68,7 @@
     dial: Option<SocketAddr>,
     cell: usize,
     started: f64,
+    active: bool,
     links: Vec<usize>,
     /// Dispatched in this call and not yet framed.
     batch: Vec<Parcel>,
@@ -124,7 +125,7 @@
                 && let Some(call) = self.carried.iter().find(|o| o.to.is_none()).map(|o| o.call)
             {
                 let parts = self.carried.iter().filter(|o| o.call == call).map(|o| &o.parcel);
-                let wait = |p: &Parcel| ((p.until - now).max(0.0) * 1000.0) as u64;
+                let wait = |p: &Parcel| ((p.until - now).max(0.001) * 1000.0) as u64;
                 self.out.put(&frames::call(parts.map(|p| (&*p.id, p.seg, wait(p), &*p.text))));
                 let to = Some(self.out.end());
                 self.carried.iter_mut().filter(|o| o.call == call).for_each(|o| o.to = to);
@@ -161,17 +162,34 @@
         server.dial = row.dial;
         server.cell = row.cell;
         server.started = row.started;
+        server.active = row.standing == Standing::Active;
         for id in server.links.clone() {
             let link = &mut self.links[id];
             if replaced && link.began < row.started {
                 self.end(now, id, Ending::Replaced, alarms);
-            } else if moved || row.gone {
-                link.retired = true;
+                continue;
+            }
+            link.retired |= moved || row.standing == Standing::Gone;
+            // What still waits here may be written long after the node was not to get anything new.
+            if link.retired || row.standing != Standing::Active {
+                let (unsent, carried) = link.carried.drain(..).partition(|o| o.to.is_none());
+                link.carried = carried;
+                let unsent: VecDeque<Out> = unsent;
+                self.back.extend(unsent.into_iter().map(|o| o.back(node, End::NotSent, now, None)));
                 self.rest(now, id, alarms);
             }
         }
     }
 
+    /// A whole list is coming: what it does not name has gone.
+    pub fn listed_anew(&mut self) {
+        self.servers.iter_mut().for_each(|s| s.active = false);
+    }
+
+    pub fn any_active(&self) -> bool {
+        self.servers.iter().any(|s| s.active)
+    }
+
     pub fn holds(&self, node: NodeId, seg: usize, cells: usize, holders: usize) -> bool {
         let cell = self.servers.get(node).map(|s| s.cell % cells);
         (0..holders).any(|j| cell == Some((seg + j) % cells))
@@ -265,10 +283,11 @@
             link.up = true;
             alarms.unset(link.alarm.take());
         }
-        self.write(now, id, alarms);
-        if readable && self.links.contains(id) {
+        // What came before a break is read before the break is met in writing.
+        if readable {
             self.read(now, id, alarms);
         }
+        self.write(now, id, alarms);
         self.rest(now, id, alarms);
     }
 
@@ -355,6 +374,8 @@
             let Some(at) = link.carried.iter().position(|o| o.parcel.key() == key) else { continue };
             let Some(out) = link.carried.remove(at) else { continue };
             match out.to {
+                // A dispatch that has timed out is known to the node by its frame.
+                Some(to) if to <= link.out.written() && end != End::Cancelled => {}
                 Some(to) if to <= link.out.written() => {
                     link.out.put(&frames::give_up(&out.parcel.id));
                     self.write(now, id, alarms);
@@ -368,6 +389,21 @@
         }
     }
 
+    /// Takes back what has not gone out: once its scan is answered no part of it may.
+    pub fn recall(&mut self, now: f64, node: NodeId, key: (ScanId, usize, usize)) {
+        let Some(server) = self.servers.get_mut(node) else { return };
+        if let Some(at) = server.batch.iter().position(|p| p.key() == key) {
+            return self.back.push_back(server.batch.remove(at).unsent(node, End::NotSent));
+        }
+        for id in &server.links {
+            let carried = &mut self.links[*id].carried;
+            let unsent = carried.iter().position(|o| o.to.is_none() && o.parcel.key() == key);
+            if let Some(out) = unsent.and_then(|at| carried.remove(at)) {
+                return self.back.push_back(out.back(node, End::NotSent, now, None));
+            }
+        }
+    }
+
     pub fn close_idle(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) {
         for id in self.servers.get(node).map(|s| s.links.clone()).unwrap_or_default() {
             if self.links[id].carried.is_empty() {
@@ -419,7 +455,7 @@
     pub dial: Option<SocketAddr>,
     pub cell: usize,
     pub started: f64,
-    pub gone: bool,
+    pub standing: Standing,
 }
 
 /// Starts a connection; whether it comes up is told later.
--- /dev/null
+++ b/crates/dunepond/tests/store/mod.rs
@@ -0,0 +1,368 @@
+//! Stand-ins for a broker's peers: nodes, the list and a client; and the broker itself as a process.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Longest that anything here waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a node does with the parts that it is sent.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Manner {
+    Serve,
+    Hang,
+    /// Sends the half of an end and breaks the connection.
+    DieMidFrame,
+    Say(&'static str),
+    /// Answers with a frame that says it could not use the last one.
+    Complain,
+    Garble,
+}
+
+#[derive(Default)]
+struct Seen {
+    frames: Vec<(char, String)>,
+    connections: usize,
+    closed: usize,
+}
+
+pub struct Node {
+    pub name: String,
+    pub address: SocketAddr,
+    manner: Arc<Mutex<Manner>>,
+    seen: Arc<(Mutex<Seen>, Condvar)>,
+}
+
+fn frame(letter: u8, rest: &str) -> Vec<u8> {
+    let mut frame = (rest.len() as u32 + 1).to_be_bytes().to_vec();
+    frame.push(letter);
+    frame.extend_from_slice(rest.as_bytes());
+    frame
+}
+
+impl Node {
+    pub fn start(name: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let node = Self {
+            name: name.to_string(),
+            address: listener.local_addr().unwrap(),
+            manner: Arc::new(Mutex::new(Manner::Serve)),
+            seen: Arc::default(),
+        };
+        let (manner, seen) = (node.manner.clone(), node.seen.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (manner, seen) = (manner.clone(), seen.clone());
+                thread::spawn(move || {
+                    seen.0.lock().unwrap().connections += 1;
+                    let _ = Self::attend(stream, &manner, &seen);
+                    seen.0.lock().unwrap().closed += 1;
+                    seen.1.notify_all();
+                });
+            }
+        });
+        node
+    }
+
+    fn attend(
+        mut stream: TcpStream,
+        manner: &Mutex<Manner>,
+        seen: &(Mutex<Seen>, Condvar),
+    ) -> std::io::Result<()> {
+        loop {
+            let mut length = [0; 4];
+            stream.read_exact(&mut length)?;
+            let mut rest = vec![0; u32::from_be_bytes(length) as usize];
+            stream.read_exact(&mut rest)?;
+            let (letter, text) = (rest[0] as char, String::from_utf8(rest[1..].to_vec()).unwrap());
+            seen.0.lock().unwrap().frames.push((letter, text.clone()));
+            seen.1.notify_all();
+            if letter != 'A' {
+                continue;
+            }
+            let (line, value) = text.split_once('\n').unwrap();
+            let id = line.split(' ').next().unwrap();
+            let manner = *manner.lock().unwrap();
+            match manner {
+                Manner::Hang => {}
+                Manner::Serve => stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?,
+                Manner::Say(word) => stream.write_all(&frame(b'E', &format!("{id} {word} 7 -\n")))?,
+                Manner::Complain => stream.write_all(&frame(b'F', "what is this"))?,
+                Manner::Garble => stream.write_all(&frame(b'X', "?"))?,
+                Manner::DieMidFrame => {
+                    stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv"))[..9])?;
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    pub fn behave(&self, manner: Manner) {
+        *self.manner.lock().unwrap() = manner;
+    }
+
+    pub fn line(&self, health: &str) -> Value {
+        json!({"host": self.name, "dial": self.address.to_string(), "site": "a", "class": "m", "block": 0,
+            "health": health, "share": 1.0, "born_ms": 0})
+    }
+
+    pub fn connections(&self) -> usize {
+        self.seen.0.lock().unwrap().connections
+    }
+
+    pub fn frames(&self, letter: char) -> Vec<String> {
+        let seen = self.seen.0.lock().unwrap();
+        seen.frames.iter().filter(|f| f.0 == letter).map(|f| f.1.clone()).collect()
+    }
+
+    /// Waits until so many frames with this letter have come.
+    pub fn wait_for(&self, letter: char, count: usize) {
+        self.wait(|seen| seen.frames.iter().filter(|f| f.0 == letter).count() >= count);
+    }
+
+    pub fn wait_closed(&self, count: usize) {
+        self.wait(|seen| seen.closed >= count);
+    }
+
+    fn wait(&self, until: impl Fn(&Seen) -> bool) {
+        let (lock, changed) = &*self.seen;
+        let seen = lock.lock().unwrap();
+        let late = changed.wait_timeout_while(seen, PATIENCE, |seen| !until(seen)).unwrap().1;
+        assert!(!late.timed_out(), "{} has not seen what it should", self.name);
+    }
+}
+
+#[derive(Default)]
+struct Lines {
+    seq: u64,
+    lines: Vec<Value>,
+    silent: bool,
+    /// The version that the broker last watched from.
+    read: u64,
+}
+
+/// Discovery's agent.
+pub struct List {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<Lines>, Condvar)>,
+}
+
+impl List {
+    pub fn start(lines: Vec<Value>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let lines = Lines { seq: 1, lines, ..Lines::default() };
+        let state = Arc::new((Mutex::new(lines), Condvar::new()));
+        let shared = state.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = shared.clone();
+                thread::spawn(move || Self::attend(stream, &state));
+            }
+        });
+        Self { address, state }
+    }
+
+    fn attend(stream: TcpStream, state: &(Mutex<Lines>, Condvar)) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        let mut stream = stream;
+        loop {
+            let mut head = String::new();
+            while !head.ends_with("\r\n\r\n") {
+                if reader.read_line(&mut head).ok()? == 0 {
+                    return None;
+                }
+            }
+            let after = |name: &str| head.split_once(name)?.1.split(['&', ' ']).next()?.parse::<u64>().ok();
+            let (lock, changed) = state;
+            let mut lines = lock.lock().unwrap();
+            lines.read = after("index=").unwrap_or(0);
+            changed.notify_all();
+            if let (Some(seq), Some(wait)) = (after("index="), after("wait=")) {
+                let wait = Duration::from_millis(wait);
+                lines = changed.wait_timeout_while(lines, wait, |l| l.seq <= seq && !l.silent).unwrap().0;
+            }
+            if lines.silent {
+                drop(lines);
+                thread::sleep(PATIENCE);
+                return None;
+            }
+            let body = json!({"seq": lines.seq, "whole": true, "hosts": lines.lines}).to_string();
+            drop(lines);
+            let (half, rest) = body.split_at(body.len() / 2);
+            let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
+            write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}").ok()?;
+        }
+    }
+
+    pub fn tell(&self, lines: Vec<Value>) {
+        let mut state = self.state.0.lock().unwrap();
+        *state = Lines { seq: state.seq + 1, lines, silent: false, read: 0 };
+        self.state.1.notify_all();
+    }
+
+    pub fn fall_silent(&self) {
+        self.state.0.lock().unwrap().silent = true;
+        self.state.1.notify_all();
+    }
+
+    /// Waits until the broker asks what comes after what it was told last.
+    pub fn wait_read(&self) {
+        let (lock, changed) = &*self.state;
+        let state = lock.lock().unwrap();
+        let late = changed.wait_timeout_while(state, PATIENCE, |l| l.read < l.seq).unwrap().1;
+        assert!(!late.timed_out(), "the list is not read");
+    }
+}
+
+/// Settings of a small deployment: one cell, so that every node holds every shard.
+pub fn settings() -> Value {
+    let service = |name: &str, semantics: &str| {
+        json!({"name": name, "semantics": semantics, "aimMs": 400.0, "deadlineMs": 3000.0, "value": 1.0,
+            "lateWorth": 0.5, "repeatWindowMs": 0.0, "group": "all", "stream": false})
+    };
+    json!({
+        "balancers": 1, "countedBy": "request", "projects": [], "tickMs": 5.0, "zones": ["a", "b"],
+        "services": [service("find", "pure"), service("fix", "side_effect")],
+        "familyInfo": {"cells": 1, "span": 1, "slabs": 6, "partsACall": 1, "leastShare": [0.5, 1.0],
+            "wholeAt": [1.0, 1.0], "secondStep": [0, 0]},
+        "ceilings": {"attemptsCap": 4, "cancel": true, "connectTimeoutMs": 250.0, "idleCloseMs": 30000.0,
+            "maxRetryAfterMs": 2000.0, "mayProbe": false, "mostHeld": 60, "retryAfter": true,
+            "secondCopies": true, "streamsPerConn": 8},
+        "rules": {"coldFrom": 0.3, "coldMs": 5000.0, "overloadFactor": 2.0, "fallMs": 1000.0,
+            "repeatRatio": 0.1, "budgetWindowMs": 2000.0, "freeResends": 20.0}
+    })
+}
+
+pub fn config(list: SocketAddr, known: Vec<Value>) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": list.to_string(), "seed": "5e6f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"seq": 1, "whole": true, "hosts": known}, "settings": settings(), "log": "debug"})
+}
+
+/// The broker as a process of its own.
+pub struct Broker {
+    child: Child,
+    pub address: SocketAddr,
+    file: PathBuf,
+}
+
+/// Runs the program on a configuration; not started yet, it tells on its standard error why.
+pub fn launch(config: &Value) -> (Child, PathBuf) {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("dunepond-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, config.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dunepond"));
+    command.env_clear().env("GW_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped());
+    (command.spawn().unwrap(), file)
+}
+
+impl Broker {
+    pub fn start(config: &Value) -> Self {
+        let (mut child, file) = launch(config);
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let line = lines.by_ref().map_while(Result::ok).find(|line| line.contains("listening on"));
+        let address = line.unwrap().split(' ').next_back().unwrap().parse().unwrap();
+        // Read on to its end, or the broker would come to stand still on a full pipe.
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| println!("{line}")));
+        Self { child, address, file }
+    }
+
+    /// A broker before these nodes, with a list that names them.
+    pub fn before(nodes: &[Node]) -> (Self, List) {
+        let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
+        let list = List::start(lines.clone());
+        (Self::start(&config(list.address, lines)), list)
+    }
+
+    pub fn terminate(&self) {
+        let status = Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Broker {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Value,
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+/// A request for a scan of these shards.
+pub fn scan(table_type: &str, id: &str, shards: &[usize], budget: &str) -> String {
+    let part = 1.0 / shards.len() as f64;
+    let buckets: Vec<_> = shards.iter().map(|s| json!({"bucket": s, "part": part})).collect();
+    let body = json!({"buckets": buckets, "body": "q1"}).to_string();
+    format!(
+        "POST /{table_type} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id}\r\nX-Call-Class: {table_type}\r\n\
+         X-Budget: {budget}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl Client {
+    pub fn to(broker: &Broker) -> Self {
+        let stream = TcpStream::connect(broker.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    pub fn send(&mut self, request: &str) {
+        self.stream.write_all(request.as_bytes()).unwrap();
+    }
+
+    pub fn ask(&mut self, request: &str) -> Answer {
+        self.send(request);
+        self.answer().expect("an answer")
+    }
+
+    /// The next answer; `None` if the connection ends first.
+    pub fn answer(&mut self) -> Option<Answer> {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if self.reader.read_line(&mut head).ok()? == 0 {
+                return None;
+            }
+        }
+        let length = head.split_once("Content-Length: ").unwrap().1.split('\r').next().unwrap();
+        let mut body = vec![0; length.parse().unwrap()];
+        self.reader.read_exact(&mut body).ok()?;
+        let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+        Some(Answer { status, head, body: serde_json::from_slice(&body).unwrap_or(Value::Null) })
+    }
+}
--- /dev/null
+++ b/crates/dunepond/tests/stories.rs
@@ -0,0 +1,335 @@
+//! A broker among stand-ins for its peers, over loopback.
+
+mod store;
+
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use store::{Broker, Client, List, Manner, Node, config, launch, scan};
+
+fn nodes(count: usize) -> Vec<Node> {
+    (0..count).map(|i| Node::start(&format!("s-{i}"))).collect()
+}
+
+#[test]
+fn a_scan_is_answered_whole_with_what_its_nodes_gave() {
+    let (broker, _list) = Broker::before(&nodes(2));
+    let mut client = Client::to(&broker);
+    let answer = client.ask(&scan("find", "c1", &[3, 5], "2.0"));
+    assert_eq!(answer.status, 200);
+    let found = json!([{"bucket": 3, "item": "v-q1"}, {"bucket": 5, "item": "v-q1"}]);
+    assert_eq!(answer.body, json!({"finished": true, "found": found}));
+}
+
+#[test]
+fn a_part_is_framed_with_its_shard_the_wait_left_and_the_text_as_it_came() {
+    let nodes = nodes(1);
+    let (broker, _list) = Broker::before(&nodes);
+    Client::to(&broker).ask(&scan("find", "c1", &[4], "1.5"));
+    let calls = nodes[0].frames('A');
+    let (line, text) = calls[0].split_once('\n').unwrap();
+    let words: Vec<_> = line.split(' ').collect();
+    assert_eq!((words[0], words[1], words[3], text), ("c1.4", "4", "2", "q1"));
+    let wait: u64 = words[2].strip_prefix("d=").unwrap().parse().unwrap();
+    assert!((1000..=1500).contains(&wait), "{wait}");
+}
+
+#[test]
+fn a_request_may_come_in_any_pieces_and_the_next_one_close_behind() {
+    let (broker, _list) = Broker::before(&nodes(1));
+    let mut client = Client::to(&broker);
+    let chunked = "POST /find HTTP/1.1\r\nX-Call-Id: c2\r\nX-Budget: 2\r\nTransfer-Encoding: chunked\r\n\r\n\
+        1a\r\n{\"buckets\":[{\"bucket\":1,\"p\r\n12\r\nart\":1}],\"body\":\"q\r\n2\r\n\"}\r\n0\r\n\r\n";
+    let both = scan("find", "c1", &[0], "2") + chunked;
+    for byte in both.as_bytes() {
+        client.stream.write_all(&[*byte]).unwrap();
+    }
+    for shard in [0, 1] {
+        let answer = client.answer().unwrap();
+        assert_eq!((answer.status, &answer.body["found"][0]["bucket"]), (200, &json!(shard)));
+    }
+}
+
+#[rstest]
+#[case::path(scan("lost", "c1", &[0], "2"), 404, "path")]
+#[case::shard(scan("find", "c1", &[6], "2"), 400, "buckets.bucket")]
+#[case::twice(scan("find", "c1", &[1, 1], "2"), 400, "named twice")]
+#[case::no_parts(scan("find", "c1", &[], "2"), 400, "buckets")]
+#[case::budget(scan("find", "c1", &[1], "soon"), 400, "X-Budget")]
+#[case::spent(scan("find", "c1", &[1], "0"), 400, "X-Budget: spent")]
+#[case::id(scan("find", "", &[1], "2"), 400, "X-Call-Id")]
+#[case::class(scan("find", "c1", &[1], "2").replace("Class: find", "Class: fix"), 400, "X-Call-Class")]
+#[case::weight(scan("find", "c1", &[1], "2").replace("1.0}", "[5]}"), 400, "buckets.part")]
+#[case::not_json(scan("find", "c1", &[1], "2").replace("{\"b", "<\"b"), 400, "body")]
+#[case::method("GET /find HTTP/1.1\r\n\r\n".to_string(), 405, "POST")]
+#[case::no_http("lunch?\r\n\r\n".to_string(), 400, "head")]
+#[case::too_long("POST /find HTTP/1.1\r\nContent-Length: 65537\r\n\r\n".to_string(), 413, "64 KiB")]
+#[case::smuggled("POST /find HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n".to_string(), 400, "Content-Length")]
+fn a_request_that_will_not_do_is_told_why_and_reaches_no_node(
+    #[case] request: String,
+    #[case] status: u16,
+    #[case] named: &str,
+) {
+    let nodes = nodes(1);
+    let (broker, _list) = Broker::before(&nodes);
+    let answer = Client::to(&broker).ask(&request);
+    assert_eq!(answer.status, status);
+    assert!(answer.body["error"].as_str().unwrap().contains(named), "{answer:?}");
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c9", &[0], "2")).status, 200);
+    assert_eq!(nodes[0].frames('A').len(), 1);
+}
+
+/// What breaks, garbles or refuses costs a replayable part another dispatch, and the scan nothing.
+#[rstest]
+#[case(Manner::DieMidFrame)]
+#[case(Manner::Complain)]
+#[case(Manner::Garble)]
+#[case(Manner::Hang)]
+#[case(Manner::Say("fault"))]
+#[case(Manner::Say("overload"))]
+#[case(Manner::Say("hm"))]
+fn a_bad_node_costs_a_replayable_scan_nothing(#[case] manner: Manner) {
+    let nodes = nodes(2);
+    nodes[0].behave(manner);
+    let (broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    for i in 0..4 {
+        let answer = client.ask(&scan("find", &format!("c{i}"), &[0, 1, 2], "2.5"));
+        assert_eq!((answer.status, &answer.body["finished"]), (200, &json!(true)));
+    }
+    assert!(!nodes[0].frames('A').is_empty());
+}
+
+/// The last byte of its frame had been written: it may have run, and saying "try again" would be a lie.
+#[rstest]
+#[case(Manner::DieMidFrame, 502)]
+#[case(Manner::Say("fault"), 502)]
+#[case(Manner::Say("overload"), 429)]
+fn a_non_replayable_scan_is_throttled_only_if_it_cannot_have_run(
+    #[case] manner: Manner,
+    #[case] status: u16,
+) {
+    let nodes = nodes(1);
+    nodes[0].behave(manner);
+    let (broker, _list) = Broker::before(&nodes);
+    let answer = Client::to(&broker).ask(&scan("fix", "c1", &[2], "1.0"));
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.head.contains("Retry-After: "), status == 429);
+    assert_eq!(nodes[0].frames('A').len(), 1);
+}
+
+#[test]
+fn a_refused_connection_is_known_not_to_have_run() {
+    let nodes = nodes(1);
+    let mut gone = nodes[0].line("ready");
+    gone["dial"] = json!("127.0.0.1:1");
+    let list = List::start(vec![gone.clone()]);
+    let broker = Broker::start(&config(list.address, vec![gone]));
+    assert_eq!(Client::to(&broker).ask(&scan("fix", "c1", &[2], "1.0")).status, 429);
+}
+
+#[test]
+fn a_client_that_closes_takes_its_parts_back() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let (broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[2], "2.0"));
+    nodes[0].wait_for('A', 1);
+    drop(client);
+    nodes[0].wait_for('B', 1);
+    assert_eq!(nodes[0].frames('B'), ["c1.2"]);
+}
+
+#[test]
+fn a_part_that_was_given_up_and_comes_all_the_same_disturbs_nobody() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let (broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[2], "2.0"));
+    nodes[0].wait_for('A', 1);
+    drop(client);
+    nodes[0].wait_for('B', 1);
+    nodes[0].behave(Manner::Serve);
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c2", &[2], "2.0")).status, 200);
+    assert_eq!(nodes[0].connections(), 1);
+}
+
+#[test]
+fn the_cap_on_held_scans_and_parts_is_kept_before_the_module() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["settings"]["ceilings"]["mostHeld"] = json!(4);
+    let broker = Broker::start(&config);
+    let mut first = Client::to(&broker);
+    first.send(&scan("find", "c1", &[0, 1, 2], "2.0"));
+    nodes[0].wait_for('A', 3);
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c2", &[0], "2.0")).status, 503);
+    drop(first);
+    nodes[0].wait_for('B', 3);
+    nodes[0].behave(Manner::Serve);
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c3", &[0], "2.0")).status, 200);
+}
+
+#[test]
+fn calls_beyond_a_connections_number_go_on_another() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["settings"]["ceilings"]["streamsPerConn"] = json!(2);
+    let broker = Broker::start(&config);
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0, 1, 2, 3, 4], "2.0"));
+    nodes[0].wait_for('A', 5);
+    assert_eq!(nodes[0].connections(), 3);
+}
+
+#[test]
+fn parts_of_one_call_share_a_frame() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["settings"]["familyInfo"]["partsACall"] = json!(2);
+    let broker = Broker::start(&config);
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0, 1, 2], "2.0"));
+    nodes[0].wait_for('A', 2);
+    let parts: Vec<_> = nodes[0].frames('A').iter().map(|f| f.matches(" d=").count()).collect();
+    assert_eq!(parts, [2, 1]);
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_its_node_does() {
+    let nodes = nodes(1);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["settings"]["ceilings"]["idleCloseMs"] = json!(100.0);
+    let broker = Broker::start(&config);
+    let mut client = Client::to(&broker);
+    for count in 1..3 {
+        assert_eq!(client.ask(&scan("find", &format!("c{count}"), &[0], "2.0")).status, 200);
+        nodes[0].wait_closed(count);
+    }
+}
+
+#[test]
+fn a_silent_list_leaves_the_last_one_in_force_until_it_speaks_again() {
+    let nodes = nodes(2);
+    let list = List::start(vec![]);
+    list.fall_silent();
+    let broker = Broker::start(&config(list.address, vec![nodes[0].line("ready")]));
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    list.tell(vec![nodes[1].line("ready")]);
+    list.wait_read();
+    assert_eq!(client.ask(&scan("find", "c2", &[0], "2.0")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (1, 1));
+}
+
+#[test]
+fn nothing_new_goes_to_a_node_that_drains_and_a_bad_line_hides_no_good_one() {
+    let nodes = nodes(2);
+    let (broker, list) = Broker::before(&nodes);
+    list.wait_read();
+    let nonsense = json!({"host": "s-9", "dial": "nowhere", "block": 0, "health": "ready"});
+    list.tell(vec![nonsense, nodes[0].line("draining"), nodes[1].line("ready")]);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    for i in 0..5 {
+        assert_eq!(client.ask(&scan("find", &format!("c{i}"), &[0, 1], "2.0")).status, 200);
+    }
+    assert_eq!(nodes[0].frames('A').len(), 0);
+}
+
+/// The machine vanished and came back: its old connections would stay open and silent for ever.
+#[test]
+fn connections_to_a_process_that_was_replaced_are_not_used_again() {
+    let nodes = nodes(1);
+    let (broker, list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    let mut line = nodes[0].line("ready");
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    line["born_ms"] = json!(now.as_millis() as u64);
+    list.tell(vec![line]);
+    nodes[0].wait_closed(1);
+    assert_eq!(client.ask(&scan("find", "c2", &[0], "2.0")).status, 200);
+    assert_eq!(nodes[0].connections(), 2);
+}
+
+#[test]
+fn a_broker_without_a_list_is_not_ready_and_turns_scans_away() {
+    let list = List::start(vec![]);
+    let broker = Broker::start(&config(list.address, vec![]));
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status, 503);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 429);
+}
+
+#[test]
+fn told_to_end_it_serves_on_answers_what_it_took_and_ends_with_0() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let (mut broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[2], "1.6"));
+    nodes[0].wait_for('A', 1);
+    broker.terminate();
+    let mut other = Client::to(&broker);
+    let until = Instant::now() + Duration::from_secs(5);
+    while other.ask("GET /ready HTTP/1.1\r\n\r\n").status != 503 {
+        assert!(Instant::now() < until, "still ready");
+    }
+    nodes[0].behave(Manner::Serve);
+    assert_eq!(other.ask(&scan("find", "c2", &[1], "2.0")).status, 200);
+    // An idle connection is closed in order, and so the listener; what is held still gets its answer.
+    assert!(other.answer().is_none());
+    assert_eq!(client.answer().unwrap().status, 502);
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
+#[test]
+fn more_clients_than_it_may_hold_are_served_one_after_the_other() {
+    let nodes = nodes(1);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["limits"]["sockets"] = json!(56);
+    let broker = Broker::start(&config);
+    let mut clients = Vec::new();
+    for i in 0..40 {
+        let mut client = Client::to(&broker);
+        assert_eq!(client.ask(&scan("find", &format!("c{i}"), &[0], "5.0")).status, 200);
+        clients.push(client);
+    }
+}
+
+#[rstest]
+#[case::no_seed("/seed", json!(null), "seed: missing")]
+#[case::bad_seed("/seed", json!("xyz"), "seed")]
+#[case::listen("/listen", json!("here"), "listen")]
+#[case::services("/settings/services/0/semantics", json!("maybe"), "settings.services: semantics")]
+#[case::cells("/settings/familyInfo/cells", json!(0), "familyInfo.cells: must be above 0")]
+#[case::streams("/settings/ceilings/streamsPerConn", json!("many"), "streamsPerConn: not a whole number")]
+#[case::memory("/limits/memory_mb", json!(1), "limits")]
+#[case::second("/settings/familyInfo/secondStep", json!([0, 5]), "secondStep")]
+#[case::level("/log", json!("loud"), "log: not a level")]
+fn a_faulty_key_is_named_and_ends_the_start(#[case] key: &str, #[case] value: Value, #[case] named: &str) {
+    let mut config = config("127.0.0.1:1".parse().unwrap(), vec![]);
+    *config.pointer_mut(key).unwrap() = value;
+    let (mut child, file) = launch(&config);
+    let mut said = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+    let status = child.wait().unwrap();
+    std::fs::remove_file(file).unwrap();
+    assert!(!status.success());
+    assert!(said.contains(named), "{said}");
+}
