--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -19,6 +19,8 @@
 pub enum Manner {
     Serve,
     Hang,
+    /// Takes the parts of this shard and answers none of them.
+    HangFor(usize),
     /// Sends the half of an end and breaks the connection.
     DieMidFrame,
     Say(&'static str),
@@ -93,7 +95,10 @@
             let manner = *manner.lock().unwrap();
             match manner {
                 Manner::Hang => {}
-                Manner::Serve => stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?,
+                Manner::HangFor(shard) if line.split(' ').nth(1) == Some(&shard.to_string()) => {}
+                Manner::Serve | Manner::HangFor(_) => {
+                    stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?
+                }
                 Manner::Say(word) => stream.write_all(&frame(b'E', &format!("{id} {word} 7 -\n")))?,
                 Manner::Complain => stream.write_all(&frame(b'F', "what is this"))?,
                 Manner::Garble => stream.write_all(&frame(b'X', "?"))?,
@@ -145,6 +150,8 @@
     seq: u64,
     lines: Vec<Value>,
     silent: bool,
+    /// How often the agent has started.
+    starts: usize,
     /// The version that the broker last watched from.
     read: u64,
 }
@@ -184,11 +191,16 @@
             let after = |name: &str| head.split_once(name)?.1.split(['&', ' ']).next()?.parse::<u64>().ok();
             let (lock, changed) = state;
             let mut lines = lock.lock().unwrap();
+            let starts = lines.starts;
             lines.read = after("index=").unwrap_or(0);
             changed.notify_all();
             if let (Some(seq), Some(wait)) = (after("index="), after("wait=")) {
                 let wait = Duration::from_millis(wait);
-                lines = changed.wait_timeout_while(lines, wait, |l| l.seq <= seq && !l.silent).unwrap().0;
+                let unchanged = |l: &mut Lines| l.seq <= seq && !l.silent && l.starts == starts;
+                lines = changed.wait_timeout_while(lines, wait, unchanged).unwrap().0;
+            }
+            if lines.starts != starts {
+                return None;
             }
             if lines.silent {
                 drop(lines);
@@ -205,7 +217,14 @@
 
     pub fn tell(&self, lines: Vec<Value>) {
         let mut state = self.state.0.lock().unwrap();
-        *state = Lines { seq: state.seq + 1, lines, silent: false, read: 0 };
+        *state = Lines { seq: state.seq + 1, lines, silent: false, read: 0, starts: state.starts };
+        self.state.1.notify_all();
+    }
+
+    /// Breaks all connections, and counts its versions from 1 again.
+    pub fn restart(&self, lines: Vec<Value>) {
+        let mut state = self.state.0.lock().unwrap();
+        *state = Lines { seq: 1, lines, silent: false, read: 0, starts: state.starts + 1 };
         self.state.1.notify_all();
     }
 
@@ -257,18 +276,32 @@
 
 /// Runs the program on a configuration; not started yet, it tells on its standard error why.
 pub fn launch(config: &Value) -> (Child, PathBuf) {
+    launch_by(Command::new(env!("CARGO_BIN_EXE_dunepond")), config)
+}
+
+fn launch_by(mut command: Command, config: &Value) -> (Child, PathBuf) {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let name = format!("dunepond-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, config.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_dunepond"));
     command.env_clear().env("GW_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped());
     (command.spawn().unwrap(), file)
 }
 
 impl Broker {
     pub fn start(config: &Value) -> Self {
-        let (mut child, file) = launch(config);
+        Self::started(launch(config))
+    }
+
+    /// One that may not have as many descriptors as it was told.
+    pub fn start_with_descriptors(most: usize, config: &Value) -> Self {
+        let mut command = Command::new("/bin/sh");
+        let line = format!("ulimit -n {most}; exec {}", env!("CARGO_BIN_EXE_dunepond"));
+        command.args(["-c", &line]);
+        Self::started(launch_by(command, config))
+    }
+
+    fn started((mut child, file): (Child, PathBuf)) -> Self {
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let line = lines.by_ref().map_while(Result::ok).find(|line| line.contains("listening on"));
         let address = line.unwrap().split(' ').next_back().unwrap().parse().unwrap();
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -3,10 +3,12 @@
 mod store;
 
 use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use store::{Broker, Client, List, Manner, Node, config, launch, scan};
 
 fn nodes(count: usize) -> Vec<Node> {
@@ -258,7 +260,7 @@
     assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
     let mut line = nodes[0].line("ready");
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
-    line["born_ms"] = json!(now.as_millis() as u64);
+    line["born_ms"] = json!(now.as_millis() as u64 + 1);
     list.tell(vec![line]);
     nodes[0].wait_closed(1);
     assert_eq!(client.ask(&scan("find", "c2", &[0], "2.0")).status, 200);
@@ -312,6 +314,95 @@
     }
 }
 
+/// Accepting fails then: it must pause, neither crash nor spin, and go on once descriptors are free.
+#[test]
+fn without_descriptors_it_goes_on_with_what_it_has() {
+    let nodes = nodes(1);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let broker = Broker::start_with_descriptors(16, &config(list.address, vec![nodes[0].line("ready")]));
+    let mut first = Client::to(&broker);
+    assert_eq!(first.ask(&scan("find", "c1", &[0], "5.0")).status, 200);
+    let mut many: Vec<_> = (0..30).map(|_| Client::to(&broker)).collect();
+    assert_eq!(first.ask(&scan("find", "c2", &[0], "5.0")).status, 200);
+    let mut last = many.pop().unwrap();
+    drop(many);
+    assert_eq!(last.ask(&scan("find", "c3", &[0], "5.0")).status, 200);
+}
+
+/// Nothing answers the attempt to connect, as when a machine has vanished.
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_in_time_and_never_ran() {
+    let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    full.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    full.listen(0).unwrap();
+    let address = full.local_addr().unwrap().as_socket().unwrap();
+    // With these the queue is full; they are never accepted.
+    let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(50));
+    let _queued: Vec<_> = (0..3).map(connect).collect();
+    let nodes = nodes(2);
+    let mut vanished = nodes[0].line("ready");
+    vanished["dial"] = json!(address.to_string());
+    let lines = vec![vanished, nodes[1].line("ready")];
+    let list = List::start(lines.clone());
+    let broker = Broker::start(&config(list.address, lines));
+    let mut client = Client::to(&broker);
+    for i in 0..4 {
+        assert_eq!(client.ask(&scan("fix", &format!("c{i}"), &[2], "2.5")).status, 200);
+    }
+}
+
+#[test]
+fn an_answer_that_is_not_whole_says_so() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::HangFor(1));
+    let (broker, _list) = Broker::before(&nodes);
+    let answer = Client::to(&broker).ask(&scan("find", "c1", &[0, 1], "0.8"));
+    let found = json!([{"bucket": 0, "item": "v-q1"}]);
+    assert_eq!((answer.status, answer.body), (200, json!({"finished": false, "found": found})));
+}
+
+#[test]
+fn an_agent_that_counts_from_1_again_is_heard() {
+    let nodes = nodes(2);
+    let (broker, list) = Broker::before(&nodes[..1]);
+    for _ in 0..3 {
+        list.tell(vec![nodes[0].line("ready")]);
+        list.wait_read();
+    }
+    list.restart(vec![nodes[1].line("ready")]);
+    list.wait_read();
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 1));
+}
+
+#[test]
+fn a_node_that_moves_is_met_at_its_new_address() {
+    let nodes = nodes(2);
+    let (broker, list) = Broker::before(&nodes[..1]);
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    let mut line = nodes[0].line("ready");
+    line["dial"] = json!(nodes[1].address.to_string());
+    list.tell(vec![line]);
+    list.wait_read();
+    assert_eq!(client.ask(&scan("find", "c2", &[0], "2.0")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (1, 1));
+    nodes[0].wait_closed(1);
+}
+
+/// It would otherwise be answered into memory for as long as it likes to ask.
+#[test]
+fn a_client_that_takes_no_answers_is_read_no_further_and_others_are_served() {
+    let (broker, _list) = Broker::before(&nodes(1));
+    let mut greedy = Client::to(&broker);
+    greedy.stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    let ready = "GET /ready HTTP/1.1\r\n\r\n".repeat(1000);
+    // The system's own buffers take some MiB; far beyond that the broker must have stopped to read.
+    let sent = (0..5000).take_while(|_| greedy.stream.write_all(ready.as_bytes()).is_ok()).count();
+    assert!(sent < 5000, "all of it was read");
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+}
+
 #[rstest]
 #[case::no_seed("/seed", json!(null), "seed: missing")]
 #[case::bad_seed("/seed", json!("xyz"), "seed")]
