Send a copy for a trial only where no holder is in service

The debug lines show its part sent to a silent node that was due a trial, and copied in the same instant to the other silent holder, also due one; two dispatches may be out at once, so the third holder was never asked. At fault: in place(), a holder due for a trial ranked with those in service, for copies too.

Also covers any two holders of a block that are set aside together, for whatever cause. Could do harm where the only holder in service is drowned while one set aside has mended: then the trial waits for the next first dispatch.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -695,14 +695,8 @@
         let shots = &mut held.pieces[part].shots;
         shots.push(Shot { node, at: self.now, end: None });
         if let Some(n) = &mut self.nodes[node] {
-            n.outs.push(Out {
-                table_type: held.table_type,
-                scan: held.id,
-                part,
-                shot: shots.len() - 1,
-                at: self.now,
-                idle,
-            });
+            let (scan, table_type, shot) = (held.id, held.table_type, shots.len() - 1);
+            n.outs.push(Out { scan, table_type, part, shot, at: self.now, idle });
             n.used = self.now;
             if n.warmth(&self.site, self.now) < 1.0 {
                 n.sent_cold.push_back(self.now);
@@ -724,8 +718,7 @@
     fn place(&mut self, held: &Held, part: usize, since: f64) -> Option<NodeId> {
         let piece = &held.pieces[part];
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
-        let mut fit = Vec::new();
-        let mut doubtful = Vec::new();
+        let (mut fit, mut trials, mut doubtful) = (Vec::new(), Vec::new(), Vec::new());
         for (id, node) in self.holders(piece.seg) {
             if piece.shots.iter().any(|s| s.node == id)
                 || node.replied < since
@@ -741,11 +734,15 @@
                 None => doubtful.push(id),
                 // What cannot be asked again waits for a holder in service; unsent it can be turned away.
                 Some(_) if !replayable => {}
-                Some(aside) if self.trial(node, aside) => fit.push(id),
+                Some(aside) if self.trial(node, aside) => trials.push(id),
                 Some(_) => doubtful.push(id),
             }
         }
         let last_resort = piece.out().next().is_none();
+        // Both of a part's dispatches might be trials at dead nodes, and the sound holder never asked.
+        if last_resort || fit.is_empty() {
+            fit.append(&mut trials);
+        }
         let among = if fit.is_empty() && last_resort { doubtful } else { fit };
         match among.len() {
             0 => None,
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -436,6 +436,24 @@
     assert_eq!(town.to_node(1, start), 0);
 }
 
+/// Both of a part's dispatches were trials once, at two silent holders, and the sound third was never asked.
+#[rstest]
+fn a_copy_is_no_trial_while_a_holder_is_in_service(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut town = Town::new(Deployment { seed, ..site() });
+    town.traffic(FULL, 3.0, 0.05);
+    (town.host.nodes[2], town.host.nodes[3]) = (None, None);
+    town.traffic(FULL, 2.0, 0.05);
+    assert!(town.aside(2) && town.aside(3));
+    for _ in 0..20 {
+        town.run(4.0);
+        for _ in 0..6 {
+            town.scan(FULL, &[4]);
+        }
+        let scan = town.scan(FULL, &[2]);
+        assert!(town.sent(scan).iter().any(|s| s.node == 4), "{:?}", town.sent(scan));
+    }
+}
+
 #[test]
 fn a_fleet_that_died_altogether_is_found_again() {
     let mut town = Town::new(site());
