--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -377,6 +377,7 @@
         client.keep &= !self.closing;
         client.out.put(&http::answer(status, body, wait, client.keep));
         client.phase = Phase::Head;
+        client.began = now;
         self.again.push(id);
         self.write(now, id, alarms);
     }
@@ -395,10 +396,11 @@
             }
             return;
         }
+        // It has taken all: held against it later, this alarm would end it while its next scan is held.
+        alarms.unset(client.alarm.take());
         if !matches!(client.phase, Phase::Head) {
             return;
         }
-        alarms.unset(client.alarm.take());
         if client.keep {
             return self.rest(id, alarms);
         }
--- a/crates/dunepond/src/ending.rs
+++ b/crates/dunepond/src/ending.rs
@@ -19,8 +19,6 @@
     Garbled,
     /// The node could not use a frame of ours.
     Complaint,
-    /// The peer takes nothing any more.
-    Clogged,
     /// A frame of which a part was written had to be taken back.
     CutShort,
     /// The process behind it is known to have been replaced.
@@ -65,7 +63,6 @@
             Self::Closed => "closed by the peer",
             Self::Garbled => "sent what cannot be read",
             Self::Complaint => "could not use a frame",
-            Self::Clogged => "takes nothing any more",
             Self::CutShort => "closed with a frame half written",
             Self::Replaced => "belonged to a process that was replaced",
             Self::Unused => "closed unused",
@@ -88,7 +85,6 @@
     #[case(Ending::Closed, End::NoConnection, End::Dropped)]
     #[case(Ending::Garbled, End::NoConnection, End::Dropped)]
     #[case(Ending::Complaint, End::NoConnection, End::Dropped)]
-    #[case(Ending::Clogged, End::NoConnection, End::Dropped)]
     #[case(Ending::CutShort, End::NoConnection, End::Dropped)]
     #[case(Ending::Replaced, End::NoConnection, End::Dropped)]
     #[case(Ending::Unused, End::NoConnection, End::Dropped)]
--- a/crates/dunepond/src/servers.rs
+++ b/crates/dunepond/src/servers.rs
@@ -1,6 +1,6 @@
 //! The nodes: their connections, the frames that go out on them and the ends that come back.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -19,9 +19,6 @@
 use crate::ending::Ending;
 use crate::frames::{self, Said, Word};
 
-/// A connection that has so much unwritten takes nothing any more: its node would have to hold more calls
-/// than it may.
-const CLOGGED: usize = 32 * SIZE;
 /// We close an idle connection at this share of the time at which the node does, so that no frame crosses.
 const IN_TIME: f64 = 0.9;
 
@@ -86,6 +83,8 @@
     servers: Vec<Server>,
     links: Slab<Link>,
     most_links: usize,
+    /// Connections that carry nothing, by the alarm that will close them: the first has been idle the longest.
+    idle: BTreeMap<Key, usize>,
     bounds: Rc<Bounds>,
     /// Nodes with something to frame.
     batched: Vec<NodeId>,
@@ -118,9 +117,13 @@
         self.carried.iter().filter(|o| last.replace(o.call) != Some(o.call)).count()
     }
 
-    /// Frames what waits, as long as what is framed goes out.
+    /// Frames what waits, once what is framed has gone out.
     fn write(&mut self, now: f64) -> io::Result<()> {
         loop {
+            self.out.flush(&*self.stream)?;
+            if !self.out.is_empty() || self.carried.iter().all(|o| o.to.is_some()) {
+                return Ok(());
+            }
             while self.out.waiting() < SIZE
                 && let Some(call) = self.carried.iter().find(|o| o.to.is_none()).map(|o| o.call)
             {
@@ -130,10 +133,6 @@
                 let to = Some(self.out.end());
                 self.carried.iter_mut().filter(|o| o.call == call).for_each(|o| o.to = to);
             }
-            self.out.flush(&*self.stream)?;
-            if !self.out.is_empty() || self.carried.iter().all(|o| o.to.is_some()) {
-                return Ok(());
-            }
         }
     }
 }
@@ -145,9 +144,9 @@
         bounds: Rc<Bounds>,
         most_links: usize,
     ) -> Self {
-        let (pool, links) = (pool.clone(), Slab::new());
+        let (pool, links, idle) = (pool.clone(), Slab::new(), BTreeMap::new());
         let (servers, batched, back) = (Vec::new(), Vec::new(), VecDeque::new());
-        Self { handle, pool, servers, links, most_links, bounds, batched, back }
+        Self { handle, pool, servers, links, most_links, idle, bounds, batched, back }
     }
 
     /// What the list says of a node, which keeps its index for good.
@@ -235,14 +234,18 @@
         let call = link.calls;
         link.carried.extend(parcels.into_iter().map(|parcel| Out { parcel, sent: now, call, to: None }));
         if link.up {
-            alarms.unset(link.alarm.take());
+            let alarm = link.alarm.take();
+            alarms.unset(alarm);
+            alarm.and_then(|key| self.idle.remove(&key));
         }
     }
 
     fn connect(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) -> Result<usize, Ending> {
         let dial = self.servers[node].dial.ok_or(Ending::NoMeans)?;
         if self.links.len() >= self.most_links {
-            return Err(Ending::NoMeans);
+            // Room is made at the cost of the connection that has been idle the longest.
+            let idle = self.idle.first_key_value().map(|(_, id)| *id).ok_or(Ending::NoMeans)?;
+            self.end(now, idle, Ending::Unused, alarms);
         }
         let stream = Rc::new(open(dial)?);
         let entry = self.links.vacant_entry();
@@ -293,10 +296,8 @@
 
     fn write(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         let Some(link) = self.links.get_mut(id).filter(|l| l.up) else { return };
-        match link.write(now) {
-            Err(e) => self.end(now, id, Ending::of(&e), alarms),
-            Ok(()) if link.out.waiting() > CLOGGED => self.end(now, id, Ending::Clogged, alarms),
-            Ok(()) => {}
+        if let Err(e) = link.write(now) {
+            self.end(now, id, Ending::of(&e), alarms);
         }
     }
 
@@ -419,7 +420,9 @@
             return self.end(now, id, Ending::Unused, alarms);
         }
         if link.alarm.is_none() {
-            link.alarm = Some(alarms.set(now + IN_TIME * self.bounds.idle_close, Due::LinkIdle(id)));
+            let key = alarms.set(now + IN_TIME * self.bounds.idle_close, Due::LinkIdle(id));
+            link.alarm = Some(key);
+            self.idle.insert(key, id);
         }
     }
 
@@ -435,6 +438,7 @@
     fn end(&mut self, now: f64, id: usize, ending: Ending, alarms: &mut Alarms) {
         let Some(link) = self.links.try_remove(id) else { return };
         alarms.unset(link.alarm);
+        link.alarm.and_then(|key| self.idle.remove(&key));
         self.handle.remove(link.token);
         let server = &mut self.servers[link.node];
         server.links.retain(|l| *l != id);
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -314,6 +314,22 @@
     }
 }
 
+#[test]
+fn more_nodes_than_it_may_have_connections_to_are_met_in_turn() {
+    let nodes = nodes(20);
+    let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
+    let list = List::start(lines.clone());
+    let mut config = config(list.address, lines);
+    config["limits"]["sockets"] = json!(48);
+    let broker = Broker::start(&config);
+    let mut client = Client::to(&broker);
+    for i in 0..40 {
+        let answer = client.ask(&scan("find", &format!("c{i}"), &[0, 1, 2, 3], "2.0"));
+        assert_eq!((answer.status, &answer.body["finished"]), (200, &json!(true)));
+    }
+    assert!(nodes.iter().filter(|n| n.connections() > 0).count() > 12);
+}
+
 /// Accepting fails then: it must pause, neither crash nor spin, and go on once descriptors are free.
 #[test]
 fn without_descriptors_it_goes_on_with_what_it_has() {
