--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -332,7 +332,8 @@
     }
 
     pub fn terminate(&self) {
-        let status = Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        let line = format!("kill -TERM {}", self.child.id());
+        let status = Command::new("/bin/sh").args(["-c", &line]).status().unwrap();
         assert!(status.success());
     }
 
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -126,7 +126,10 @@
 fn a_refused_connection_is_known_not_to_have_run() {
     let nodes = nodes(1);
     let mut gone = nodes[0].line("ready");
-    gone["dial"] = json!("127.0.0.1:1");
+    // Bound, so that nobody else gets it, and not listening.
+    let closed = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    closed.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    gone["dial"] = json!(closed.local_addr().unwrap().as_socket().unwrap().to_string());
     let list = List::start(vec![gone.clone()]);
     let broker = Broker::start(&config(list.address, vec![gone]));
     assert_eq!(Client::to(&broker).ask(&scan("fix", "c1", &[2], "1.0")).status, 429);
@@ -164,6 +167,21 @@
     assert_eq!(Client::to(&broker).ask(&scan("find", "c3", &[0], "2.0")).status, 200);
 }
 
+#[test]
+fn each_scan_of_a_burst_gets_one_answer() {
+    let (broker, _list) = Broker::before(&nodes(3));
+    let mut clients: Vec<_> = (0..100).map(|_| Client::to(&broker)).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&scan("find", &format!("c{i}"), &[i % 6, (i + 1) % 6], "2.0"));
+    }
+    for client in &mut clients {
+        let status = client.answer().unwrap().status;
+        assert!(matches!(status, 200 | 429 | 503), "{status}");
+        assert_eq!(client.ask("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n").status, 200);
+        assert!(client.answer().is_none());
+    }
+}
+
 #[test]
 fn calls_beyond_a_connections_number_go_on_another() {
     let nodes = nodes(1);
