--- a/crates/dunepond/examples/toy_store.rs
+++ b/crates/dunepond/examples/toy_store.rs
@@ -35,10 +35,10 @@
             if hangs {
                 continue;
             }
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(Duration::from_millis(5));
             let answer = format!("E{id} hit 1 -\n{text} in shard {shard}, says {name}");
-            stream.write_all(&(answer.len() as u32).to_be_bytes())?;
-            stream.write_all(answer.as_bytes())?;
+            // In one go: in two the second would wait for the broker's acknowledgement of the first.
+            stream.write_all(&[&(answer.len() as u32).to_be_bytes(), answer.as_bytes()].concat())?;
         }
     }
 }
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -294,6 +294,21 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+#[test]
+fn killed_outright_it_starts_again_under_its_name_and_address() {
+    let nodes = nodes(1);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    let first = Broker::start(&config);
+    config["listen"] = json!(first.address.to_string());
+    let mut client = Client::to(&first);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    drop(first);
+    assert!(client.answer().is_none());
+    let again = Broker::start(&config);
+    assert_eq!(Client::to(&again).ask(&scan("find", "c2", &[0], "2.0")).status, 200);
+}
+
 #[test]
 fn more_clients_than_it_may_hold_are_served_one_after_the_other() {
     let nodes = nodes(1);
