Ask the list at most every 50 ms, and watch on over a new connection

Read over: an agent that answers a watch at once, with nothing new, was asked on at once, in circles; and one that closes after each answer was taken for broken each time, with a pause and the whole list. The watch goes on within 200 ms either way.

--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -89,7 +89,7 @@
     /// Connections with something left to read that no readiness will tell of again.
     pub again: Vec<usize>,
     /// Scans can be served, as far as the list goes.
-    pub ready: bool,
+    pub may_serve: bool,
     /// After SIGTERM: not ready; then also: each connection closes after its answer.
     pub leaving: bool,
     pub closing: bool,
@@ -129,7 +129,7 @@
             idle: BTreeSet::new(),
             turns: 0,
             again: Vec::new(),
-            ready: false,
+            may_serve: false,
             leaving: false,
             closing: false,
         })
@@ -346,7 +346,7 @@
         let head = &message.head;
         let path = head.path.split('?').next().unwrap_or_default();
         if path == "/ready" {
-            return match (head.method.as_str(), self.ready && !self.leaving) {
+            return match (head.method.as_str(), self.may_serve && !self.leaving) {
                 ("GET", true) => Ok(None),
                 ("GET", false) => Err(refusal(503, "not ready")),
                 _ => Err(refusal(405, "/ready: only GET")),
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -23,6 +23,9 @@
 const WATCH_MS: u64 = 5000;
 /// How long after its time an answer is given up.
 const OVERDUE: f64 = 1.0;
+/// Between two calls at least, far inside of what keeps a watch alive: an agent that answers a watch at
+/// once, whatever it is asked, must not make us ask it in circles.
+const APART: f64 = 0.05;
 /// Before a call to an agent that is down is made again: at first, and at most.
 const AGAIN: (f64, f64) = (0.1, 1.0);
 
@@ -48,8 +51,11 @@
     zones: Vec<String>,
     talk: Option<Talk>,
     alarm: Option<Key>,
-    /// The version to watch from; none before a whole list has come over this connection.
+    /// The version to watch from; none before a whole list has come, and after each break.
     seq: Option<u64>,
+    asked: f64,
+    /// An answer is awaited.
+    awaiting: bool,
     pause: f64,
 }
 
@@ -62,7 +68,8 @@
     ) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (talk, alarm, seq, pause) = (None, None, None, AGAIN.0);
-        Self { handle, pool, address, nodes, zones, talk, alarm, seq, pause }
+        let (asked, awaiting) = (f64::MIN, false);
+        Self { handle, pool, address, nodes, zones, talk, alarm, seq, asked, awaiting, pause }
     }
 
     pub fn call(&mut self, now: f64, alarms: &mut Alarms) {
@@ -81,7 +88,6 @@
         match open() {
             Ok(talk) => {
                 self.talk = Some(talk);
-                self.seq = None;
                 self.ask(now, alarms);
             }
             Err(ending) => self.end(now, ending, alarms),
@@ -90,6 +96,7 @@
 
     fn ask(&mut self, now: f64, alarms: &mut Alarms) {
         let Some(talk) = &mut self.talk else { return };
+        (self.asked, self.awaiting) = (now, true);
         let (path, wait) = match self.seq {
             None => ("/v1/endpoints".to_string(), 0),
             Some(seq) => (format!("/v1/endpoints?index={seq}&wait={WATCH_MS}"), WATCH_MS),
@@ -110,26 +117,32 @@
         }
     }
 
-    /// The agent's time is up: its answer's, or that of the pause after it had gone.
+    /// The agent's time is up: its answer's, or that of a pause.
     pub fn due(&mut self, now: f64, alarms: &mut Alarms) {
         self.alarm = None;
         match self.talk {
-            Some(_) => self.end(now, Ending::Stalled, alarms),
+            Some(_) if self.awaiting => self.end(now, Ending::Stalled, alarms),
+            Some(_) => self.ask(now, alarms),
             None => self.call(now, alarms),
         }
     }
 
     /// The one way a connection to the agent goes; the last list holds until the next one.
     fn end(&mut self, now: f64, ending: Ending, alarms: &mut Alarms) {
-        if let Some(talk) = self.talk.take() {
-            self.handle.remove(talk.token);
-        }
+        self.hang_up();
+        self.seq = None;
         alarms.unset(self.alarm.take());
         warn!("discovery {}: connection {ending}; the last list holds", self.address);
         self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
         self.pause = (2.0 * self.pause).min(AGAIN.1);
     }
 
+    fn hang_up(&mut self) {
+        if let Some(talk) = self.talk.take() {
+            self.handle.remove(talk.token);
+        }
+    }
+
     pub fn ready(&mut self, now: f64, readable: bool, alarms: &mut Alarms) -> Vec<News> {
         let mut news = Vec::new();
         self.write(now, alarms);
@@ -198,11 +211,13 @@
         if !news.rows.is_empty() {
             debug!("discovery: {} lines, whole: {}", news.rows.len(), news.whole);
         }
-        if message.head.keep {
-            self.ask(now, alarms)
-        } else {
-            self.end(now, Ending::Closed, alarms)
+        self.awaiting = false;
+        if !message.head.keep {
+            // Its way to end a connection; the watch goes on over another one.
+            self.hang_up();
         }
+        alarms.unset(self.alarm.take());
+        self.alarm = Some(alarms.set(now.max(self.asked + APART), Due::Agent));
         Some(news)
     }
 
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -88,7 +88,7 @@
             self.desk.servers.listed(now, row.node, listing, &mut self.desk.alarms);
             listed.push(row);
         }
-        self.desk.clients.ready = self.desk.servers.any_active();
+        self.desk.clients.may_serve = self.desk.servers.any_active();
         self.broker.listed(&mut self.desk, news.whole, &listed);
     }
 
--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -157,6 +157,9 @@
     seq: u64,
     lines: Vec<Value>,
     silent: bool,
+    /// Answers a watch at once, changed or not, and closes after each answer.
+    hasty: bool,
+    asked: usize,
     /// How often the agent has started.
     starts: usize,
     /// The version that the broker last watched from.
@@ -199,11 +202,12 @@
             let (lock, changed) = state;
             let mut lines = lock.lock().unwrap();
             let starts = lines.starts;
+            lines.asked += 1;
             lines.read = after("index=").unwrap_or(0);
             changed.notify_all();
             if let (Some(seq), Some(wait)) = (after("index="), after("wait=")) {
                 let wait = Duration::from_millis(wait);
-                let unchanged = |l: &mut Lines| l.seq <= seq && !l.silent && l.starts == starts;
+                let unchanged = |l: &mut Lines| l.seq <= seq && !l.silent && !l.hasty && l.starts == starts;
                 lines = changed.wait_timeout_while(lines, wait, unchanged).unwrap().0;
             }
             if lines.starts != starts {
@@ -215,23 +219,40 @@
                 return None;
             }
             let body = json!({"seq": lines.seq, "whole": true, "hosts": lines.lines}).to_string();
+            let close = if lines.hasty { "Connection: close\r\n" } else { "" };
             drop(lines);
             let (half, rest) = body.split_at(body.len() / 2);
             let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
-            write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}").ok()?;
+            write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{close}\r\n{chunks}").ok()?;
+            if !close.is_empty() {
+                return None;
+            }
         }
     }
 
     pub fn tell(&self, lines: Vec<Value>) {
         let mut state = self.state.0.lock().unwrap();
-        *state = Lines { seq: state.seq + 1, lines, silent: false, read: 0, starts: state.starts };
+        *state = Lines { seq: state.seq + 1, lines, silent: false, read: 0, ..std::mem::take(&mut state) };
         self.state.1.notify_all();
     }
 
+    /// From now on it answers at once and closes; gives how often it was asked in this time.
+    pub fn be_hasty(&self, time: Duration) -> usize {
+        let asked = || {
+            let mut state = self.state.0.lock().unwrap();
+            state.hasty = true;
+            self.state.1.notify_all();
+            state.asked
+        };
+        let before = asked();
+        thread::sleep(time);
+        asked() - before
+    }
+
     /// Breaks all connections, and counts its versions from 1 again.
     pub fn restart(&self, lines: Vec<Value>) {
         let mut state = self.state.0.lock().unwrap();
-        *state = Lines { seq: 1, lines, silent: false, read: 0, starts: state.starts + 1 };
+        *state = Lines { seq: 1, lines, starts: state.starts + 1, ..Lines::default() };
         self.state.1.notify_all();
     }
 
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -394,6 +394,19 @@
     assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 1));
 }
 
+/// Asked on at once it would keep both sides busy with nothing.
+#[test]
+fn an_agent_that_answers_a_watch_at_once_is_not_asked_in_circles_and_is_heard() {
+    let nodes = nodes(2);
+    let (broker, list) = Broker::before(&nodes[..1]);
+    let asked = list.be_hasty(Duration::from_millis(500));
+    assert!((2..=12).contains(&asked), "{asked}");
+    list.tell(vec![nodes[1].line("ready")]);
+    list.wait_read();
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 1));
+}
+
 #[test]
 fn a_node_that_moves_is_met_at_its_new_address() {
     let nodes = nodes(2);
