--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -157,8 +157,9 @@
     seq: u64,
     lines: Vec<Value>,
     silent: bool,
-    /// Answers a watch at once, changed or not, and closes after each answer.
+    /// Answers a watch at once, changed or not; and closes after each answer.
     hasty: bool,
+    closes: bool,
     asked: usize,
     /// How often the agent has started.
     starts: usize,
@@ -191,6 +192,7 @@
     fn attend(stream: TcpStream, state: &(Mutex<Lines>, Condvar)) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut stream = stream;
+        stream.set_nodelay(true).ok()?;
         loop {
             let mut head = String::new();
             while !head.ends_with("\r\n\r\n") {
@@ -219,11 +221,12 @@
                 return None;
             }
             let body = json!({"seq": lines.seq, "whole": true, "hosts": lines.lines}).to_string();
-            let close = if lines.hasty { "Connection: close\r\n" } else { "" };
+            let close = if lines.closes { "Connection: close\r\n" } else { "" };
             drop(lines);
             let (half, rest) = body.split_at(body.len() / 2);
             let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
-            write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{close}\r\n{chunks}").ok()?;
+            let answer = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{close}\r\n{chunks}");
+            stream.write_all(answer.as_bytes()).ok()?;
             if !close.is_empty() {
                 return None;
             }
@@ -236,11 +239,11 @@
         self.state.1.notify_all();
     }
 
-    /// From now on it answers at once and closes; gives how often it was asked in this time.
-    pub fn be_hasty(&self, time: Duration) -> usize {
+    /// From now on it answers at once, and closes or not; gives how often it was asked in this time.
+    pub fn be_hasty(&self, closes: bool, time: Duration) -> usize {
         let asked = || {
             let mut state = self.state.0.lock().unwrap();
-            state.hasty = true;
+            (state.hasty, state.closes) = (true, closes);
             self.state.1.notify_all();
             state.asked
         };
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -395,11 +395,13 @@
 }
 
 /// Asked on at once it would keep both sides busy with nothing.
-#[test]
-fn an_agent_that_answers_a_watch_at_once_is_not_asked_in_circles_and_is_heard() {
+#[rstest]
+fn an_agent_that_answers_a_watch_at_once_is_not_asked_in_circles_and_is_heard(
+    #[values(false, true)] closes: bool,
+) {
     let nodes = nodes(2);
     let (broker, list) = Broker::before(&nodes[..1]);
-    let asked = list.be_hasty(Duration::from_millis(500));
+    let asked = list.be_hasty(closes, Duration::from_millis(500));
     assert!((2..=12).contains(&asked), "{asked}");
     list.tell(vec![nodes[1].line("ready")]);
     list.wait_read();
