--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -21,6 +21,8 @@
     Hang,
     /// Takes the parts of this shard and answers none of them.
     HangFor(usize),
+    /// Takes a fifth of a second over the parts of this shard.
+    SlowFor(usize),
     /// Sends the half of an end and breaks the connection.
     DieMidFrame,
     Say(&'static str),
@@ -98,7 +100,11 @@
             match manner {
                 Manner::Hang => {}
                 Manner::HangFor(shard) if line.split(' ').nth(1) == Some(&shard.to_string()) => {}
-                Manner::Serve | Manner::HangFor(_) => {
+                Manner::SlowFor(shard) if line.split(' ').nth(1) == Some(&shard.to_string()) => {
+                    thread::sleep(Duration::from_millis(200));
+                    stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?;
+                }
+                Manner::Serve | Manner::HangFor(_) | Manner::SlowFor(_) => {
                     stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?
                 }
                 Manner::Say(word) => stream.write_all(&frame(b'E', &format!("{id} {word} 7 -\n")))?,
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -3,7 +3,7 @@
 mod store;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -348,16 +348,21 @@
     assert_eq!(last.ask(&scan("find", "c3", &[0], "5.0")).status, 200);
 }
 
-/// Nothing answers the attempt to connect, as when a machine has vanished.
-#[test]
-fn a_connection_that_never_comes_up_is_given_up_in_time_and_never_ran() {
+/// Nothing answers the attempt to connect, as when a machine has vanished: its queue is full.
+fn vanished() -> (TcpListener, SocketAddr) {
     let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     full.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
     full.listen(0).unwrap();
     let address = full.local_addr().unwrap().as_socket().unwrap();
-    // With these the queue is full; they are never accepted.
     let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(50));
-    let _queued: Vec<_> = (0..3).map(connect).collect();
+    // Those that came up lie in the queue after their end, too.
+    (0..3).for_each(|i| drop(connect(i)));
+    (full.into(), address)
+}
+
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_in_time_and_never_ran() {
+    let (_full, address) = vanished();
     let nodes = nodes(2);
     let mut vanished = nodes[0].line("ready");
     vanished["dial"] = json!(address.to_string());
@@ -370,6 +375,56 @@
     }
 }
 
+/// Without leave to cancel nothing else would keep them from going out after their scan's answer.
+#[test]
+fn parts_that_wait_for_a_connection_do_not_go_out_once_their_scan_is_answered() {
+    let (full, address) = vanished();
+    let nodes = nodes(2);
+    let mut late = nodes[0].line("ready");
+    late["dial"] = json!(address.to_string());
+    let lines = vec![late, nodes[1].line("ready")];
+    let list = List::start(lines.clone());
+    let mut config = config(list.address, lines);
+    config["settings"]["ceilings"]["cancel"] = json!(false);
+    config["settings"]["ceilings"]["connectTimeoutMs"] = json!(5000.0);
+    config["settings"]["familyInfo"]["wholeAt"] = json!([0.2, 1.0]);
+    config["settings"]["familyInfo"]["leastShare"] = json!([0.2, 1.0]);
+    let broker = Broker::start(&config);
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c1", &[0, 1, 2, 3], "2.5")).status, 200);
+    // Room in the queue: the connection comes up with the system's next try, after a second.
+    let mut last = (0..9).map_while(|_| full.accept().ok()).find(|(stream, _)| {
+        stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        // Those that filled the queue are at their end.
+        !matches!(stream.peek(&mut [0]), Ok(0))
+    });
+    let came = last.as_mut().map(|(stream, _)| stream.read(&mut [0; 100]).unwrap_or(0));
+    assert_eq!(came, Some(0));
+}
+
+#[test]
+fn without_leave_to_cancel_nothing_is_taken_back_at_a_node() {
+    let nodes = nodes(2);
+    nodes.iter().for_each(|n| n.behave(Manner::Hang));
+    let (broker, _list) = Broker::before_with(&nodes, "/settings/ceilings/cancel", json!(false));
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("fix", "c1", &[0], "0.3")).status, 502);
+    nodes.iter().for_each(|n| n.behave(Manner::Serve));
+    // Its client's time ends a little after its answer.
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(client.ask(&scan("find", "c2", &[1, 2], "2.0")).status, 200);
+    assert!(nodes.iter().all(|n| n.frames('B').is_empty()));
+}
+
+#[test]
+fn no_scan_is_held_beyond_its_query_timeout_whatever_its_client_says() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::Hang);
+    let (broker, _list) = Broker::before_with(&nodes, "/settings/services/1/deadlineMs", json!(500.0));
+    let start = Instant::now();
+    assert_eq!(Client::to(&broker).ask(&scan("fix", "c1", &[0], "9.0")).status, 502);
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
 #[test]
 fn an_answer_that_is_not_whole_says_so() {
     let nodes = nodes(1);
@@ -380,6 +435,17 @@
     assert_eq!((answer.status, answer.body), (200, json!({"finished": false, "found": found})));
 }
 
+/// It was read with the one before it, but could not be begun sooner.
+#[test]
+fn the_time_left_of_a_request_close_behind_another_counts_from_that_ones_answer() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::SlowFor(1));
+    let (broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    client.send(&(scan("find", "c1", &[1], "2.0") + &scan("find", "c2", &[0], "0.15")));
+    assert_eq!((client.answer().unwrap().status, client.answer().unwrap().status), (200, 200));
+}
+
 #[test]
 fn an_agent_that_counts_from_1_again_is_heard() {
     let nodes = nodes(2);
