--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -375,6 +375,27 @@
     }
 }
 
+/// Written later they would be something new to it; and what never went out may go elsewhere.
+#[test]
+fn parts_that_wait_for_a_connection_leave_a_node_that_drains() {
+    let (_full, address) = vanished();
+    let nodes = nodes(2);
+    let mut late = nodes[0].line("ready");
+    late["dial"] = json!(address.to_string());
+    let list = List::start(vec![late.clone(), nodes[1].line("ready")]);
+    let mut config = config(list.address, vec![late.clone(), nodes[1].line("ready")]);
+    config["settings"]["ceilings"]["connectTimeoutMs"] = json!(5000.0);
+    let broker = Broker::start(&config);
+    let mut clients: Vec<_> = (0..6).map(|_| Client::to(&broker)).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&scan("fix", &format!("c{i}"), &[i], "2.5"));
+    }
+    nodes[1].wait_for('A', 1);
+    late["health"] = json!("draining");
+    list.tell(vec![late, nodes[1].line("ready")]);
+    assert!(clients.iter_mut().all(|client| client.answer().unwrap().status == 200));
+}
+
 /// Without leave to cancel nothing else would keep them from going out after their scan's answer.
 #[test]
 fn parts_that_wait_for_a_connection_do_not_go_out_once_their_scan_is_answered() {
