Never take a client for idle that has sent its next request with the last one

Found in reading the change over: a client was marked idle after an answer and unmarked only by a fresh read, so with its next request already read it stayed on the idle list while its scan was held. At the cap on connections accepting a new client would have ended it, and its scan with it: a lost scan. At fault: Clients::next(), which unmarked; decode() does now, whenever something is there to decode. The story fails without it.

--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -265,10 +265,7 @@
             match input.read_from(&*client.stream) {
                 Ok(0) => return Came::Left(self.end(id, Ending::Closed, alarms)),
                 Ok(_) if matches!(client.phase, Phase::Parting) => client.input = None,
-                Ok(_) if fresh && matches!(client.phase, Phase::Head) => {
-                    client.began = now;
-                    self.unrest(id);
-                }
+                Ok(_) if fresh && matches!(client.phase, Phase::Head) => client.began = now,
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -289,6 +286,10 @@
     /// Takes a whole request out of what has been read; those that ask for no scan are answered here.
     fn decode(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<Asked> {
         loop {
+            // Idle is only who has sent nothing: what was read together with the request before counts too.
+            if self.clients.get(id)?.input.as_ref().is_some_and(|input| !input.is_empty()) {
+                self.unrest(id);
+            }
             let client = self.clients.get_mut(id)?;
             // Who asks on and on and takes no answer waits until it does.
             if client.out.waiting() > SIZE {
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -321,6 +321,20 @@
     }
 }
 
+/// Its next request had come with the one before, so it was taken for idle while its scan was held.
+#[test]
+fn who_waits_for_an_answer_makes_no_room_for_others() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::SlowFor(1));
+    let (broker, _list) = Broker::before_with(&nodes, "/limits/sockets", json!(48));
+    let mut first = Client::to(&broker);
+    first.send(&(scan("find", "c1", &[0], "2.0") + &scan("find", "c2", &[1], "2.0")));
+    assert_eq!(first.answer().unwrap().status, 200);
+    let mut others: Vec<_> = (0..20).map(|_| Client::to(&broker)).collect();
+    assert!(others.iter_mut().all(|other| other.ask("GET /ready HTTP/1.1\r\n\r\n").status == 200));
+    assert_eq!(first.answer().unwrap().status, 200);
+}
+
 #[test]
 fn more_nodes_than_it_may_have_connections_to_are_met_in_turn() {
     let nodes = nodes(20);
