Read the configuration again on SIGHUP and call the discovery that it names

Ruled out by reading: an address in the file alone would have changed nothing either, as config.rs puts the environment first, and the environment still names the old address. Now the file goes first when it is read again, the agent's connection and version are dropped and the whole list asked from the new address; a file that will not do is named and changes nothing.

--- a/crates/dunepond/src/config.rs
+++ b/crates/dunepond/src/config.rs
@@ -35,9 +35,15 @@
     start(&file, variable)
 }
 
+/// Reads it all again, under way. The environment still says what was so at the start, so that the file goes
+/// before it: a file with another address of discovery would otherwise change nothing.
+pub fn reread(variable: impl Fn(&str) -> Option<String>) -> Result<Start, Bad> {
+    read(|name| Some(name).filter(|name| matches!(*name, "GW_CONFIG" | "GW_LOG")).and_then(&variable))
+}
+
 fn start(file: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Start, Bad> {
     let config = Fields::of("config", file)?;
-    // What the environment says goes before the file.
+    // At the start, what the environment says goes before the file.
     let told = |name: &str, key: &str| match variable(name) {
         Some(value) => Ok((value, name.to_string())),
         None => Ok::<_, Bad>((config.text(key)?.to_string(), format!("config: {key}"))),
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -86,6 +86,18 @@
         }
     }
 
+    /// Calls another agent in place of this one. Its versions are its own, so that its whole list comes first;
+    /// until then the last list holds.
+    pub fn move_to(&mut self, now: f64, address: SocketAddr, alarms: &mut Alarms) {
+        if address != self.address {
+            info!("discovery: from {} to {address}", self.address);
+            self.hang_up();
+            alarms.unset(self.alarm.take());
+            (self.address, self.seq, self.pause) = (address, None, AGAIN.0);
+            self.call(now, alarms);
+        }
+    }
+
     fn ask(&mut self, now: f64, alarms: &mut Alarms) {
         let Some(talk) = &mut self.talk else { return };
         (self.asked, self.awaiting) = (now, true);
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -168,6 +168,21 @@
         }
     }
 
+    /// The configuration is to be read again. What it says of discovery and of the log is in force at once; the
+    /// rest is checked as at the start and waits for one, as scans in hand go by it. One that will not do
+    /// changes nothing.
+    fn told_to_reread(&mut self) {
+        let now = self.tick();
+        match config::reread(|name| std::env::var(name).ok()) {
+            Ok(start) => {
+                info!("configuration read again");
+                log::set_max_level(start.level);
+                self.agent.move_to(now, start.discovery, &mut self.desk.alarms);
+            }
+            Err(Bad(line)) => error!("the configuration in force stays: {line}"),
+        }
+    }
+
     fn told_to_end(&mut self) {
         let now = self.tick();
         if self.told_to_end.is_none() {
@@ -203,8 +218,12 @@
     let failed = |what: &str, why: &dyn std::fmt::Display| Bad(format!("{what}: {why}"));
     let mut event_loop = EventLoop::try_new().map_err(|e| failed("loop", &e))?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| failed("signals", &e))?;
-    let signals = handle.insert_source(signals, |_, _, world: &mut World| world.told_to_end());
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
+    let signals = signals.map_err(|e| failed("signals", &e))?;
+    let signals = handle.insert_source(signals, |event, _, world: &mut World| match event.signal() {
+        Signal::SIGHUP => world.told_to_reread(),
+        _ => world.told_to_end(),
+    });
     signals.map_err(|e| failed("signals", &e.error))?;
     let (pool, bounds) = (Pool::default(), Rc::new(start.bounds));
     let mut agent = Agent::new(handle.clone(), &pool, start.discovery, &bounds);
--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -308,7 +308,7 @@
 pub struct Broker {
     child: Child,
     pub address: SocketAddr,
-    file: PathBuf,
+    pub file: PathBuf,
 }
 
 /// Runs the program on a configuration; not started yet, it tells on its standard error why.
@@ -322,6 +322,7 @@
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, config.to_string()).unwrap();
     command.env_clear().env("GW_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped());
+    command.env("GW_DISCOVERY", config["discovery"].as_str().unwrap());
     (command.spawn().unwrap(), file)
 }
 
@@ -361,8 +362,14 @@
         (Self::start(&config), list)
     }
 
-    pub fn terminate(&self) {
-        let line = format!("kill -TERM {}", self.child.id());
+    /// Replaces its file and has it read again.
+    pub fn reread(&self, config: &Value) {
+        std::fs::write(&self.file, config.to_string()).unwrap();
+        self.signal("HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let line = format!("kill -{name} {}", self.child.id());
         let status = Command::new("/bin/sh").args(["-c", &line]).status().unwrap();
         assert!(status.success());
     }
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -279,7 +279,7 @@
     let mut client = Client::to(&broker);
     client.send(&scan("fix", "c1", &[2], "1.6"));
     nodes[0].wait_for('A', 1);
-    broker.terminate();
+    broker.signal("TERM");
     let mut other = Client::to(&broker);
     let until = Instant::now() + Duration::from_secs(5);
     while other.ask("GET /ready HTTP/1.1\r\n\r\n").status != 503 {
@@ -294,6 +294,34 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+/// The environment names the old address to the end, and a file that will not do must change nothing.
+#[test]
+fn told_to_read_its_configuration_again_it_goes_on_and_hears_the_new_agent() {
+    let nodes = nodes(2);
+    nodes[0].behave(Manner::Hang);
+    let (mut broker, old) = Broker::before(&nodes[..1]);
+    old.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[2], "2.5"));
+    nodes[0].wait_for('A', 1);
+    let mut bad = config(old.address, vec![]);
+    bad["settings"]["services"][0]["semantics"] = json!("maybe");
+    broker.reread(&bad);
+    std::fs::write(&broker.file, "{").unwrap();
+    broker.signal("HUP");
+    let new = List::start(vec![nodes[0].line("draining"), nodes[1].line("ready")]);
+    broker.reread(&config(new.address, vec![]));
+    new.wait_read();
+    let mut other = Client::to(&broker);
+    assert_eq!(other.ask(&scan("fix", "c2", &[2], "2.0")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (1, 1));
+    // What was in hand is still answered, and SIGTERM soon after ends it as ever.
+    assert_eq!(client.answer().unwrap().status, 502);
+    broker.reread(&config(old.address, vec![]));
+    broker.signal("TERM");
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
 #[test]
 fn killed_outright_it_starts_again_under_its_name_and_address() {
     let nodes = nodes(1);
