Let go of clients that say nothing or half of something, and check shares and times

At fault: config.rs gave clients half of what memory allows at three buffers a connection (64), clients.rs gave a silent client 10 s and never made room at its cost. Ruled out: CPU (0.04 s in the busiest second), nodes set aside (few, in service again within 0.5 s).

--- a/crates/dunepond/src/buffers.rs
+++ b/crates/dunepond/src/buffers.rs
@@ -1,6 +1,6 @@
 //! Buffers of one size, used again from a pool, and the chain of them that waits to be written.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
 use std::rc::Rc;
@@ -15,14 +15,21 @@
 #[derive(Clone, Default)]
 pub struct Pool {
     free: Rc<RefCell<Vec<Box<[u8]>>>>,
+    out: Rc<Cell<usize>>,
 }
 
 impl Pool {
     pub fn take(&self) -> Buffer {
         let bytes = self.free.borrow_mut().pop();
         let bytes = bytes.unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        self.out.set(self.out.get() + 1);
         Buffer { bytes, from: 0, to: 0, pool: self.clone() }
     }
+
+    /// How many are in use.
+    pub fn out(&self) -> usize {
+        self.out.get()
+    }
 }
 
 /// Bytes that came in or go out; back in its pool once dropped.
@@ -35,6 +42,7 @@
 
 impl Drop for Buffer {
     fn drop(&mut self) {
+        self.pool.out.set(self.pool.out.get() - 1);
         let mut free = self.pool.free.borrow_mut();
         if free.len() < KEPT {
             free.push(std::mem::take(&mut self.bytes));
--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -1,6 +1,6 @@
 //! The clients: their connections, the requests that come on them and the answers that go back.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -20,14 +20,28 @@
 use crate::http::{self, Message, Refusal, refusal};
 use crate::{World, watch};
 
-/// Longest that a client may take over sending a request or taking an answer, once either has begun.
-const SLOW: f64 = 10.0;
+/// Longest that a client may take over sending a request, from its connection on or from the first byte of a
+/// later one. Clients that connect by hundreds and say nothing, or half of something, held all there was.
+const ASKS: f64 = 2.0;
+/// Longest that a client may take over taking an answer, once that has begun.
+const TAKES: f64 = 10.0;
+/// How long a connection is kept on which nothing is asked: some ask once and stay for good.
+const RESTS: f64 = 4.0;
+/// Who has not asked for so long makes room before those that rest, which have asked before.
+const LATE: f64 = 0.25;
+/// Connections accepted, and reads from one client, before all others have their turn; and how soon the one
+/// that sends on and on is read again.
+const ACCEPTS: usize = 32;
+const READS: usize = 4;
+const SOON: f64 = 0.001;
 /// How long a client may take to close its side after its last answer.
 const PARTING: f64 = 1.0;
 /// How soon accepting is tried again after it has failed for want of means.
 const NO_MEANS: f64 = 0.05;
 const BACKLOG: i32 = 1024;
 const LONGEST_ID: usize = 200;
+/// By how much a share may be rounded.
+const ROUNDED: f64 = 0.002;
 
 /// A scan as a client asks for it.
 pub struct Asked {
@@ -70,9 +84,9 @@
     /// When the first byte of this request was read.
     began: f64,
     keep: bool,
+    /// It sends faster than it may be read; an alarm will tell when it is its turn.
+    more: bool,
     alarm: Option<Key>,
-    /// Its place among those that wait for nothing.
-    idle: Option<u64>,
 }
 
 pub struct Clients {
@@ -80,12 +94,14 @@
     pool: Pool,
     clients: Slab<Client>,
     most: usize,
+    most_buffers: usize,
     bounds: Rc<Bounds>,
     listener: Option<(TcpListener, RegistrationToken)>,
     paused: bool,
-    /// Who has been idle, longest first.
-    idle: BTreeSet<(u64, usize)>,
-    turns: u64,
+    /// By their alarms, so the longest first: who has connected or begun and not asked yet, and who waits for
+    /// nothing. At the cap these make room.
+    asking: BTreeMap<Key, usize>,
+    resting: BTreeMap<Key, usize>,
     /// Connections with something left to read that no readiness will tell of again.
     pub again: Vec<usize>,
     /// Scans can be served, as far as the list goes.
@@ -109,7 +125,7 @@
         handle: LoopHandle<'static, World>,
         pool: &Pool,
         bounds: Rc<Bounds>,
-        most: usize,
+        (most, most_buffers): (usize, usize),
         listener: TcpListener,
     ) -> calloop::Result<Self> {
         let source = Generic::new(listener.try_clone()?, Interest::READ, Mode::Level);
@@ -123,11 +139,12 @@
             pool: pool.clone(),
             clients: Slab::new(),
             most,
+            most_buffers,
             bounds,
             listener: Some((listener, token)),
             paused: false,
-            idle: BTreeSet::new(),
-            turns: 0,
+            asking: BTreeMap::new(),
+            resting: BTreeMap::new(),
             again: Vec::new(),
             may_serve: false,
             leaving: false,
@@ -135,13 +152,17 @@
         })
     }
 
-    pub fn accept(&mut self, now: f64, alarms: &mut Alarms) {
-        while let Some((listener, _)) = &self.listener {
+    /// Takes in some of those that have come; true if there may be more.
+    pub fn accept(&mut self, now: f64, alarms: &mut Alarms) -> bool {
+        for _ in 0..ACCEPTS {
+            let Some((listener, _)) = &self.listener else { return false };
             if self.clients.len() >= self.most {
-                // Room is made at the cost of whoever has waited for nothing the longest.
-                match self.idle.first().map(|idle| idle.1) {
+                match self.least(now) {
                     Some(id) => drop(self.end(id, Ending::Unused, alarms)),
-                    None => return self.pause(None, alarms),
+                    None => {
+                        self.pause(None, alarms);
+                        return false;
+                    }
                 }
                 continue;
             }
@@ -150,15 +171,26 @@
                     Ok(id) => self.again.push(id),
                     Err(e) => warn!("client {peer}: not taken in: {e}"),
                 },
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     warn!("accepting pauses: {e}");
-                    return self.pause(Some(now + NO_MEANS), alarms);
+                    self.pause(Some(now + NO_MEANS), alarms);
+                    return false;
                 }
             }
         }
+        true
+    }
+
+    /// Who makes room for others: never one that is owed an answer. One that has only just connected is given
+    /// its time to ask, as long as such do not take up half of all.
+    fn least(&self, now: f64) -> Option<usize> {
+        let asking = self.asking.first_key_value();
+        let late = ((now + ASKS - LATE) * 1e6) as u64;
+        let overdue = asking.filter(|(key, _)| key.0 < late || 2 * self.asking.len() > self.most);
+        overdue.or(self.resting.first_key_value()).or(asking).map(|(_, id)| *id)
     }
 
     fn enter(&mut self, now: f64, stream: TcpStream, alarms: &mut Alarms) -> calloop::Result<usize> {
@@ -177,10 +209,10 @@
             readable: true,
             began: now,
             keep: true,
-            // Not idle before it has had its time to ask: what it asks may be on its way already.
-            alarm: Some(alarms.set(now + SLOW, Due::ClientSlow(id))),
-            idle: None,
+            more: false,
+            alarm: None,
         });
+        self.asks(now, id, alarms);
         Ok(id)
     }
 
@@ -213,7 +245,7 @@
 
     /// Takes in what has come to the listener so far, and closes it.
     pub fn close_listener(&mut self, now: f64, alarms: &mut Alarms) {
-        self.accept(now, alarms);
+        while self.accept(now, alarms) {}
         if let Some((_, token)) = self.listener.take() {
             self.handle.remove(token);
         }
@@ -248,17 +280,34 @@
         }
     }
 
+    /// It is the turn of a client that had sent on and on.
+    pub fn go_on(&mut self, id: usize) {
+        if let Some(client) = self.clients.get_mut(id) {
+            client.more = false;
+            self.again.push(id);
+        }
+    }
+
     /// Reads on until there is a scan, or nothing more for now.
     pub fn next(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Came {
-        loop {
+        for read in 0.. {
             if let Some(asked) = self.decode(now, id, alarms) {
                 return Came::Scan(asked);
             }
             let Some(client) = self.clients.get_mut(id) else { return Came::Nothing };
             let full = client.input.as_ref().is_some_and(Buffer::is_full);
-            if !client.readable || full {
+            if !client.readable || full || client.more {
+                return Came::Nothing;
+            }
+            if read == READS {
+                client.more = true;
+                alarms.set(now + SOON, Due::ClientMore(id));
                 return Came::Nothing;
             }
+            if client.input.is_none() && self.pool.out() >= self.most_buffers {
+                self.spare(id, alarms);
+            }
+            let client = &mut self.clients[id];
             let input = client.input.get_or_insert_with(|| self.pool.take());
             let fresh = input.is_empty();
             match input.read_from(&*client.stream) {
@@ -272,22 +321,28 @@
                     if input.is_empty() {
                         client.input = None;
                     }
-                    let begun = client.input.is_some() || matches!(client.phase, Phase::Body(_));
-                    if begun && client.asking() && client.alarm.is_none() {
-                        client.alarm = Some(alarms.set(now + SLOW, Due::ClientSlow(id)));
-                    }
                 }
                 Err(e) => return Came::Left(self.end(id, Ending::of(&e), alarms)),
             }
         }
+        Came::Nothing
+    }
+
+    /// Ends whoever has been over a request the longest and holds a buffer for it.
+    fn spare(&mut self, but: usize, alarms: &mut Alarms) {
+        let holds = |c: &Client| c.input.is_some() || matches!(c.phase, Phase::Body(_));
+        let held = self.asking.values().copied().find(|id| *id != but && holds(&self.clients[*id]));
+        held.map(|id| self.end(id, Ending::Stalled, alarms));
     }
 
     /// Takes a whole request out of what has been read; those that ask for no scan are answered here.
     fn decode(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<Asked> {
         loop {
-            // Idle is only who has sent nothing: what was read together with the request before counts too.
-            if self.clients.get(id)?.input.as_ref().is_some_and(|input| !input.is_empty()) {
-                self.unrest(id);
+            // At rest is only who has sent nothing: what was read together with the request before counts too.
+            let client = self.clients.get(id)?;
+            let sent = client.input.as_ref().is_some_and(|input| !input.is_empty());
+            if sent && client.alarm.is_some_and(|key| self.resting.contains_key(&key)) {
+                self.asks(now, id, alarms);
             }
             let client = self.clients.get_mut(id)?;
             // Who asks on and on and takes no answer waits until it does.
@@ -328,7 +383,8 @@
             if input.is_empty() {
                 client.input = None;
             }
-            alarms.unset(client.alarm.take());
+            self.calm(id, alarms);
+            let client = &mut self.clients[id];
             // Where the next request would begin is not known after one that cannot be read.
             client.keep &= outcome.is_ok();
             let began = client.began;
@@ -392,50 +448,58 @@
             client.readable = true;
             return self.again.push(id);
         }
-        if !client.out.is_empty() {
-            if client.alarm.is_none() {
-                client.alarm = Some(alarms.set(now + SLOW, Due::ClientSlow(id)));
+        let (taken, keep, alarm) = (client.out.is_empty(), client.keep, client.alarm);
+        match client.phase {
+            _ if !taken && alarm.is_some() => {}
+            _ if !taken => drop(self.set(id, now + TAKES, alarms)),
+            // It has taken all: held against it later, its alarm would end it while its next scan is held.
+            Phase::Waiting | Phase::Held(_) => self.calm(id, alarms),
+            Phase::Head if keep => {
+                let key = self.set(id, now + RESTS, alarms);
+                self.resting.insert(key, id);
+                self.make_room(alarms);
             }
-            return;
-        }
-        // It has taken all: held against it later, this alarm would end it while its next scan is held.
-        alarms.unset(client.alarm.take());
-        if !matches!(client.phase, Phase::Head) {
-            return;
-        }
-        if client.keep {
-            return self.rest(id, alarms);
+            Phase::Head => {
+                // Closed at once, with something unread, it would take the answer back.
+                let _ = client.stream.shutdown(Shutdown::Write);
+                client.phase = Phase::Parting;
+                let key = self.set(id, now + PARTING, alarms);
+                self.resting.insert(key, id);
+            }
+            Phase::Body(_) | Phase::Parting => {}
         }
-        // Closed at once, with something unread, it would take the answer back.
-        let _ = client.stream.shutdown(Shutdown::Write);
-        client.phase = Phase::Parting;
-        client.alarm = Some(alarms.set(now + PARTING, Due::ClientSlow(id)));
     }
 
-    fn rest(&mut self, id: usize, alarms: &mut Alarms) {
-        self.unrest(id);
-        self.make_room(alarms);
-        self.turns += 1;
-        self.idle.insert((self.turns, id));
-        self.clients[id].idle = Some(self.turns);
+    /// From now on its time to ask runs.
+    fn asks(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        let key = self.set(id, now + ASKS, alarms);
+        self.asking.insert(key, id);
     }
 
-    fn unrest(&mut self, id: usize) {
-        if let Some(turn) = self.clients.get_mut(id).and_then(|c| c.idle.take()) {
-            self.idle.remove(&(turn, id));
+    fn set(&mut self, id: usize, at: f64, alarms: &mut Alarms) -> Key {
+        self.calm(id, alarms);
+        let key = alarms.set(at, Due::ClientSlow(id));
+        self.clients[id].alarm = Some(key);
+        key
+    }
+
+    fn calm(&mut self, id: usize, alarms: &mut Alarms) {
+        if let Some(key) = self.clients.get_mut(id).and_then(|c| c.alarm.take()) {
+            alarms.unset(Some(key));
+            self.asking.remove(&key);
+            self.resting.remove(&key);
         }
     }
 
     /// A client has taken too long.
     pub fn slow(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<ScanId> {
+        self.calm(id, alarms);
         let client = self.clients.get_mut(id)?;
-        client.alarm = None;
         if !client.out.is_empty() || !client.asking() {
             return self.end(id, Ending::Stalled, alarms);
         }
-        if client.input.is_none() && matches!(client.phase, Phase::Head) {
-            self.rest(id, alarms);
-            return None;
+        if client.unasked() {
+            return self.end(id, Ending::Unused, alarms);
         }
         client.keep = false;
         self.reply(now, id, 408, &complaint("request: not whole in time"), 0.0, alarms);
@@ -444,9 +508,8 @@
 
     /// The one way a connection goes; names the scan that was held for it.
     fn end(&mut self, id: usize, ending: Ending, alarms: &mut Alarms) -> Option<ScanId> {
-        self.unrest(id);
+        self.calm(id, alarms);
         let client = self.clients.try_remove(id)?;
-        alarms.unset(client.alarm);
         self.handle.remove(client.token);
         debug!("client {id}: connection {ending}");
         self.make_room(alarms);
@@ -479,7 +542,9 @@
     if id.is_empty() || id.len() > LONGEST_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(bad("X-Call-Id: missing, too long or not in plain characters".to_string()));
     }
-    let budget = head.budget.parse::<f64>().ok().filter(|b| b.is_finite());
+    // A number's other forms, from infinity to exponents, are nobody's time in seconds.
+    let plain = head.budget.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let budget = head.budget.parse::<f64>().ok().filter(|b| plain && b.is_finite());
     let budget = budget.ok_or_else(|| bad("X-Budget: not a number of seconds".to_string()))?;
     if budget <= 0.0 {
         return Err(bad("X-Budget: spent".to_string()));
@@ -496,10 +561,14 @@
         if !seen.insert(seg) {
             return Err(bad(format!("buckets.bucket: {seg} is named twice")));
         }
-        let weight = bucket.get("part").and_then(Value::as_f64).filter(|w| w.is_finite() && *w >= 0.0);
+        let weight = bucket.get("part").and_then(Value::as_f64).filter(|w| (0.0..=1.0).contains(w));
         let weight = weight.ok_or_else(|| bad("buckets.part: not a share".to_string()))?;
         parts.push(Part { seg, weight });
     }
+    // Each may be rounded; further off, no share of the answer would mean what the settings say of it.
+    if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > ROUNDED * parts.len() as f64 {
+        return Err(bad("buckets.part: the shares do not add up to 1".to_string()));
+    }
     // A customer that the settings do not list is served as one more.
     let customer = bounds.customers.iter().position(|c| *c == head.caller);
     Ok(Asked {
--- a/crates/dunepond/src/clock.rs
+++ b/crates/dunepond/src/clock.rs
@@ -28,6 +28,7 @@
     ScanEnds(u64),
     Link(usize),
     ClientSlow(usize),
+    ClientMore(usize),
     Agent,
     Accept,
     Drain,
--- a/crates/dunepond/src/config.rs
+++ b/crates/dunepond/src/config.rs
@@ -20,7 +20,8 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub level: LevelFilter,
-    pub most_clients: usize,
+    /// Connections, and the buffers that may be in use before one more is taken for a request.
+    pub most_clients: (usize, usize),
     pub most_links: usize,
     pub deployment: Deployment,
     pub bounds: Bounds,
@@ -71,20 +72,22 @@
             None => LevelFilter::Info,
         },
     };
-    // Each connection holds at most a buffer read and one written, a client's also a body; half of the
-    // memory is for them, the rest for scans in hand, queued frames and the program itself.
-    let affordable = (memory * 1024.0 * 1024.0 / 2.0 / (3 * SIZE) as f64) as u64;
-    let most = sockets.saturating_sub(OWN_SOCKETS).min(affordable);
-    if most < 16 {
+    // Connections hold buffers only while something is in them. A quarter of the memory is for those; the rest
+    // for scans in hand, queued frames and the program itself.
+    let most = sockets.saturating_sub(OWN_SOCKETS);
+    let buffers = (memory * 1024.0 * 1024.0 / 4.0 / SIZE as f64) as usize;
+    if most < 16 || buffers < 16 {
         return Err(config.bad("limits", "too little memory or sockets for any connections"));
     }
+    // Each node is sent to on few connections, by however many clients.
+    let most_links = (most / 4) as usize;
     Ok(Start {
         name: told("GW_NAME", "name")?.0,
         listen: address("GW_LISTEN", "listen")?,
         discovery: address("GW_DISCOVERY", "discovery")?,
         level,
-        most_clients: (most / 2) as usize,
-        most_links: (most / 2) as usize,
+        most_clients: (most as usize - most_links, buffers),
+        most_links,
         deployment,
         bounds: bounds(&settings)?,
         known: config.maybe("known", "a list of nodes", Some)?.cloned().unwrap_or(Value::Null),
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -160,6 +160,7 @@
                         self.client_left(scan);
                     }
                 }
+                Due::ClientMore(id) => self.desk.clients.go_on(id),
                 Due::Agent => self.agent.due(now, &mut self.desk.alarms),
                 Due::Accept => self.desk.clients.resume(),
                 Due::Drain => self.drain(),
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -61,6 +61,11 @@
 #[case::no_parts(scan("find", "c1", &[], "2"), 400, "buckets")]
 #[case::budget(scan("find", "c1", &[1], "soon"), 400, "X-Budget")]
 #[case::spent(scan("find", "c1", &[1], "0"), 400, "X-Budget: spent")]
+#[case::infinite(scan("find", "c1", &[1], "inf"), 400, "X-Budget")]
+#[case::exponent(scan("find", "c1", &[1], "1e9"), 400, "X-Budget")]
+#[case::too_much(scan("find", "c1", &[1], "2").replace("1.0}", "1.5}"), 400, "buckets.part: not a share")]
+#[case::too_little(scan("find", "c1", &[1], "2").replace("1.0}", "0.7}"), 400, "add up to 1")]
+#[case::too_many(scan("find", "c1", &[1, 2, 3], "2").replace("0.33", "0.43"), 400, "add up to 1")]
 #[case::id(scan("find", "", &[1], "2"), 400, "X-Call-Id")]
 #[case::class(scan("find", "c1", &[1], "2").replace("Class: find", "Class: fix"), 400, "X-Call-Class")]
 #[case::weight(scan("find", "c1", &[1], "2").replace("1.0}", "[5]}"), 400, "buckets.part")]
@@ -358,11 +363,51 @@
     let mut first = Client::to(&broker);
     first.send(&(scan("find", "c1", &[0], "2.0") + &scan("find", "c2", &[1], "2.0")));
     assert_eq!(first.answer().unwrap().status, 200);
-    let mut others: Vec<_> = (0..20).map(|_| Client::to(&broker)).collect();
-    assert!(others.iter_mut().all(|other| other.ask("GET /ready HTTP/1.1\r\n\r\n").status == 200));
+    let ready = |_| {
+        let mut other = Client::to(&broker);
+        assert_eq!(other.ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
+        other
+    };
+    let _others: Vec<_> = (0..20).map(ready).collect();
     assert_eq!(first.answer().unwrap().status, 200);
 }
 
+/// They come by hundreds, and would hold all that clients may have for as long as they like.
+#[rstest]
+#[case::silent("", "", 64)]
+#[case::half("POST /find HTTP/1.1\r\nX-Call-Id: c0\r\nContent-Length: 9\r\n\r\nhalf", "HTTP/1.1 408 ", 1024)]
+fn who_says_nothing_or_half_of_it_is_let_go_and_keeps_nobody_out(
+    #[case] said: &str,
+    #[case] told: &str,
+    #[case] sockets: usize,
+) {
+    let nodes = nodes(1);
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["limits"] = json!({"memory_mb": 4, "sockets": sockets});
+    let broker = Broker::start(&config);
+    let start = Instant::now();
+    let mut idlers: Vec<_> = (0..100).map(|_| Client::to(&broker)).collect();
+    // Some are let go at once, to make room.
+    idlers.iter_mut().for_each(|idler| drop(idler.stream.write_all(said.as_bytes())));
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    let mut last = String::new();
+    let _ = idlers.pop().unwrap().stream.read_to_string(&mut last);
+    assert!(last.starts_with(told), "{last}");
+    idlers.iter_mut().for_each(|idler| drop(idler.stream.read_to_end(&mut Vec::new())));
+    assert!(start.elapsed() < Duration::from_secs(8));
+}
+
+/// Some ask once and keep their connection for good.
+#[test]
+fn who_asks_nothing_more_is_let_go_in_time() {
+    let (broker, _list) = Broker::before(&nodes(1));
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("find", "c1", &[0], "2.0")).status, 200);
+    assert_eq!(client.stream.read(&mut [0]).unwrap(), 0);
+}
+
 #[test]
 fn more_nodes_than_it_may_have_connections_to_are_met_in_turn() {
     let nodes = nodes(20);
