--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -107,6 +107,7 @@
     table_type: usize,
     sent: f64,
     took: f64,
+    at: f64,
     served: bool,
     fault: bool,
 }
@@ -169,8 +170,7 @@
     /// When what was sent after an idle time broke at once, and how long that had been.
     reaped: VecDeque<(f64, f64)>,
     wake_due: f64,
-    /// What dispatches take at the median and nearly all of them: worked out once for all that ask, since
-    /// a burst asks thousands of times in one call.
+    /// What dispatches take at the median and nearly all of them, worked out once: a burst asks often.
     median: f64,
     nearly_all: f64,
     /// The least that the median has been: what dispatches take at ease.
@@ -234,8 +234,7 @@
         faults.filter(|s| s.table_type == table_type).count() >= FAULTS
     }
 
-    /// Some table type of its samples has only gone well: then it is no fault of the whole node, which the
-    /// other types would lose, and the one that fails keeps away by itself.
+    /// Some table type has only gone well: the one that fails keeps away by itself, the others need the node.
     fn serves_others(&self) -> bool {
         let failed = |t: usize| self.samples.iter().any(|s| s.fault && s.table_type == t);
         self.samples.iter().any(|s| s.served && !failed(s.table_type))
@@ -323,6 +322,12 @@
         }
     }
 
+    /// A node has gone and nothing of ours is out there: its index may be given to another.
+    pub fn forget(&mut self, node: NodeId) {
+        self.nodes[node] = None;
+        self.cells.iter_mut().for_each(|cell| cell.retain(|id| *id != node));
+    }
+
     pub fn scan(&mut self, host: &mut dyn Host, scan: Scan) {
         self.hear(host);
         self.take(1.0 + scan.parts.len() as f64);
@@ -767,7 +772,7 @@
 
     /// What dispatches to this node take; a fault comes back soon, and counts for as long as it is said to.
     fn usual(&self, node: &Node, targets: f64, fault: impl Fn(&Sample) -> f64) -> f64 {
-        let fresh = node.samples.iter().filter(|s| s.sent + s.took > self.since(targets));
+        let fresh = node.samples.iter().filter(|s| s.at > self.since(targets));
         let zone = self.zone_usual.get(node.zone).copied().unwrap_or(self.median);
         let (took, count) = fresh.fold((zone, 1.0), |(sum, n), s| {
             (sum + s.took.max(if s.fault { fault(s) } else { 0.0 }), n + 1.0)
@@ -804,11 +809,11 @@
     /// Retries of what has failed, and second copies of what will not come in time.
     fn further(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
         let kind = &self.site.table_types[held.table_type];
-        let need = self.need(held);
-        let target = kind.target;
+        let (need, target) = (self.need(held), kind.target);
         let overdue = (1.25 * self.nearly_all.min(3.0 * self.median)).max(0.4 * target);
         let replayable = kind.repeat == Repeat::Replayable;
-        let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| !b.hopeless(s, overdue));
+        let hope = |b: &Broker, s: &Shot| b.now - s.at <= overdue && !b.aside(s.node);
+        let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| hope(b, s));
         let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
         // What could not go now is tried again, the more seldom the longer it has waited.
         let later = self.now + (5.0 * self.site.tick).max((self.now - held.came) / 32.0);
@@ -844,10 +849,6 @@
         self.nodes[node].as_ref().is_some_and(|n| n.aside.is_some())
     }
 
-    fn hopeless(&self, shot: &Shot, overdue: f64) -> bool {
-        self.now - shot.at > overdue || self.aside(shot.node)
-    }
-
     fn take(&mut self, scans_and_parts: f64) {
         if self.site.budget.is_some() {
             self.taken.push_back((self.now, scans_and_parts));
@@ -907,8 +908,9 @@
         let Some(node) = self.nodes.get_mut(ended.node).and_then(Option::as_mut) else { return };
         let sent = |o: &Out| (o.scan, o.part, o.shot) == (ended.scan, ended.part, ended.shot);
         let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
-        let took = self.now - out.at;
-        node.used = self.now;
+        let (now, took, served) = (self.now, self.now - out.at, ended.end == End::Completed);
+        node.used = now;
+        let again = node.samples.back().is_some_and(|s| s.fault && s.at == now);
         let mut withdrawn = false;
         match ended.end {
             End::Cancelled | End::TimedOut => {
@@ -936,6 +938,8 @@
             End::Dropped if out.idle > median && took < PROMPT * self.site.tick => {
                 return keep_last(&mut self.reaped, (self.now, out.idle), NODE_SAMPLES);
             }
+            // What one connection takes with it is one fault, however many parts were out on it.
+            End::Dropped | End::NoConnection if again => return,
             End::Completed | End::Error | End::NoConnection | End::Dropped => {}
         }
         if matches!(ended.end, End::Completed | End::Error) {
@@ -945,12 +949,11 @@
         let took = took * warmth;
         // A cold node speaks for no other: it may be quicker than the least it must be, and what seemed
         // usual then would widen the room of all cold nodes.
-        let served = ended.end == End::Completed;
         if served && warmth >= 1.0 {
             keep_last(&mut self.fleet, (took, self.now, 1.0 / self.warm as f64), FLEET_SAMPLES);
         }
-        let sample =
-            Sample { table_type: out.table_type, sent: out.at, took, served, fault: !served && !withdrawn };
+        let (table_type, sent, fault) = (out.table_type, out.at, !served && !withdrawn);
+        let sample = Sample { table_type, sent, took, at: now, served, fault };
         keep_last(&mut node.samples, sample, NODE_SAMPLES);
         keep_last(&mut self.zones[node.zone], (took, self.now), 2 * NODE_SAMPLES);
         if withdrawn {
@@ -981,17 +984,19 @@
         if let Some(aside) = &mut node.aside {
             if node.outs.iter().any(|o| o.at >= aside.again && now - o.at > silence) {
                 *aside = Aside::rest(now, self.nearly_all);
+                host.close_idle(id);
             }
             return;
         }
         let silent = node.silent(now) * node.warmth(&self.site, now) > silence;
         let faults = node.samples.iter().filter(|s| s.fault).count() >= FAULTS && !node.serves_others();
-        let why = match (silent, faults) {
-            (true, _) => "it is silent",
-            (_, true) => "it fails what it is given",
-            _ => return,
-        };
+        if !silent && !faults {
+            return;
+        }
+        let why = if silent { "it is silent" } else { "it fails what it is given" };
         node.aside = Some(Aside::rest(now, self.nearly_all));
+        // It may be only a connection that fell silent: a trial on that would tell nothing of the node.
+        host.close_idle(id);
         for out in &node.outs {
             if let Some(held) = self.scans.get_mut(&out.scan) {
                 held.due = now;
@@ -1003,9 +1008,7 @@
     fn returned(&mut self, host: &mut dyn Host, ended: &Ended) {
         let Some(held) = self.scans.get_mut(&ended.scan) else { return };
         let piece = &mut held.pieces[ended.part];
-        if let Some(shot) = piece.shots.get_mut(ended.shot) {
-            shot.end = Some(ended.end);
-        }
+        piece.shots[ended.shot].end = Some(ended.end);
         if ended.end == End::Completed && !piece.done {
             piece.done = true;
             piece.cancel(host, &self.site, ended.scan, ended.part);
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use decide::Broker;
 
-/// A node, by the index the host gave its address; the same index for the life of the broker.
+/// A node, by the index the host gave its address; another may get it once [`Broker::forget`] has been told.
 pub type NodeId = usize;
 /// A scan, by a number that the host never uses twice for one broker.
 pub type ScanId = u64;
@@ -20,7 +20,8 @@
     fn now(&self) -> f64;
     /// Sends a part to a node. A part's dispatches count from 0 in the order of these calls.
     fn dispatch(&mut self, scan: ScanId, part: usize, node: NodeId);
-    /// Gives up the idle connections to a node; what is sent next opens a new one.
+    /// Gives up the connections to a node, the idle ones at once and the others once nothing is out on them
+    /// any more; what is sent next opens a new one.
     fn close_idle(&mut self, node: NodeId);
     /// Stops waiting for one dispatch; its end is still reported.
     fn cancel(&mut self, scan: ScanId, part: usize, shot: usize);
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -234,6 +234,8 @@
     let hang = town.host.now;
     town.traffic(FULL, 2.0, 0.05);
     assert!(town.aside(2));
+    // It may be only the connection that is silent.
+    assert!(town.host.closed.contains(&2));
     let known = town.host.now;
     town.traffic(FULL, 3.0, 0.05);
     assert!(town.to_node(2, known) <= 10);
@@ -255,6 +257,20 @@
     assert!(town.to_node(2, start) <= 10);
 }
 
+/// However many parts were out on it; spoilt answers come from any node, and each costs its connection.
+#[test]
+fn a_connection_that_breaks_is_one_fault() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    town.run(1.0);
+    town.host.nodes = vec![Some((End::Dropped, 0.1)); 6];
+    for i in 0..24 {
+        town.scan(FULL, &[i % 6]);
+    }
+    town.run(0.1);
+    assert!((0..6).all(|n| !town.aside(n)));
+}
+
 #[test]
 fn a_node_that_swallows_some_of_its_parts_is_set_aside() {
     let mut town = Town::new(site());
@@ -480,6 +496,27 @@
     assert!(town.to_node(2, restart) >= 2);
 }
 
+/// With new nodes under new names all day, what is known of those that went would grow without end.
+#[test]
+fn a_forgotten_nodes_index_is_anothers_that_holds_something_else() {
+    let mut town = Town::new(site());
+    town.host.nodes[2] = Some((End::Error, 0.002));
+    town.traffic(FULL, 2.0, 0.05);
+    assert!(town.aside(2));
+    town.list(false, &[row(2, Standing::Gone, 0.0)]);
+    town.run(1.0);
+    town.broker.forget(2);
+    town.host.nodes[2] = Some((End::Completed, 0.2));
+    town.list(false, &[Listed { cell: 5, ..row(2, Standing::Active, 0.0) }]);
+    let mut asked = |seg: usize| {
+        let scans: Vec<_> = (0..20).map(|_| town.scan(FIX, &[seg])).collect();
+        town.run(5.0);
+        scans.into_iter().filter(|scan| town.sent(*scan)[0].node == 2).count()
+    };
+    assert_eq!(asked(2), 0);
+    assert!(asked(5) > 0);
+}
+
 #[test]
 fn a_failed_part_goes_to_another_holder() {
     let mut town = Town::new(site());
--- a/crates/dunepond/src/desk.rs
+++ b/crates/dunepond/src/desk.rs
@@ -39,6 +39,8 @@
     cells: usize,
     holders: usize,
     dispatch_cap: usize,
+    /// The longest wait that a throttling reply may name.
+    longest_wait: f64,
     /// The query timeouts of the table types.
     timeouts: Vec<f64>,
     scans: HashMap<ScanId, InHand>,
@@ -71,6 +73,7 @@
             cells: site.cells,
             holders: site.holders,
             dispatch_cap: site.dispatch_cap,
+            longest_wait: site.longest_wait,
             timeouts: site.table_types.iter().map(|t| t.timeout).collect(),
             scans: HashMap::new(),
             call_ids: HashSet::new(),
@@ -83,7 +86,7 @@
     pub fn take(&mut self, client: usize, asked: Asked) -> Option<Scan> {
         if self.bounds.most_held.is_some_and(|most| self.held >= most) {
             debug!("scan {}: throttled, {} scans and parts are held", asked.call_id, self.held);
-            self.clients.reply(self.now, client, 503, "", 0.0, &mut self.alarms);
+            self.clients.reply(self.now, client, 503, "", self.longest_wait, &mut self.alarms);
             return None;
         }
         if !self.call_ids.insert(asked.call_id.clone()) {
--- a/crates/dunepond/src/frames.rs
+++ b/crates/dunepond/src/frames.rs
@@ -52,7 +52,7 @@
     let said = match frame[0] {
         b'E' => {
             let (line, value) = text.split_once('\n').ok_or("no line in an E")?;
-            let mut words = line.split(' ');
+            let mut words = line.splitn(4, ' ');
             let id = words.next().filter(|id| !id.is_empty()).ok_or("an E without an id")?;
             let word = match words.next() {
                 Some("hit") => Word::Hit,
@@ -60,6 +60,9 @@
                 Some("overload") => Word::Overload,
                 _ => return Err("an E with an unknown end"),
             };
+            words.next().and_then(|score| score.parse::<f64>().ok()).ok_or("an E without a score")?;
+            // Whatever the report says, the value is good; but its place must be there.
+            words.next().ok_or("an E without a report")?;
             Said::Ended { id, word, value }
         }
         b'F' => Said::Complaint(text),
@@ -91,6 +94,8 @@
     #[case::no_line(&frame(b'E', b"c1.3 hit 7 -"))]
     #[case::no_id(&frame(b'E', b" hit 7 -\n"))]
     #[case::unknown_end(&frame(b'E', b"c1.3 perhaps 7 -\n"))]
+    #[case::no_score(&frame(b'E', b"c1.3 hit  -\nvalue"))]
+    #[case::no_report(&frame(b'E', b"c1.3 hit 7\nvalue"))]
     #[case::not_text(&frame(b'E', b"c1.3 hit 7 -\n\xff"))]
     fn a_frame_that_cannot_be_read_says_why(#[case] bytes: &[u8]) {
         assert!(read(bytes).is_err());
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -47,6 +47,8 @@
     pool: Pool,
     address: SocketAddr,
     nodes: HashMap<String, NodeId>,
+    /// Indices below the highest that no node has.
+    free: Vec<NodeId>,
     zones: Vec<String>,
     talk: Option<Talk>,
     alarm: Option<Key>,
@@ -67,8 +69,8 @@
     ) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (talk, alarm, seq, pause) = (None, None, None, AGAIN.0);
-        let (asked, awaiting) = (f64::MIN, false);
-        Self { handle, pool, address, nodes, zones, talk, alarm, seq, asked, awaiting, pause }
+        let (free, asked, awaiting) = (Vec::new(), f64::MIN, false);
+        Self { handle, pool, address, nodes, free, zones, talk, alarm, seq, asked, awaiting, pause }
     }
 
     pub fn call(&mut self, now: f64, alarms: &mut Alarms) {
@@ -218,6 +220,13 @@
         Some(news)
     }
 
+    /// Nothing names this node any more: its index may be given to another.
+    pub fn forget(&mut self, node: NodeId, host: &str) {
+        if self.nodes.remove(host).is_some() {
+            self.free.push(node);
+        }
+    }
+
     /// Reads a list; a line that will not do is named and skipped.
     pub fn read(&mut self, list: &Value) -> Result<(u64, News), Bad> {
         let list = Fields::of("list", list)?;
@@ -253,10 +262,11 @@
             self.zones.push(site.to_string());
             self.zones.len() - 1
         });
-        let next = self.nodes.len();
+        let next = self.nodes.len() + self.free.len();
         let node = *self.nodes.entry(host.to_string()).or_insert_with(|| {
-            info!("discovery: node {next} is {host} at {}", dial.map_or("?".to_string(), |d| d.to_string()));
-            next
+            let node = self.free.pop().unwrap_or(next);
+            info!("discovery: node {node} is {host} at {}", dial.map_or("?".to_string(), |d| d.to_string()));
+            node
         });
         let host = host.to_string();
         Ok((Listed { node, cell, zone, standing, started }, Listing { host, dial, cell, started, standing }))
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -98,7 +98,8 @@
         let now = self.desk.now;
         let mut listed = Vec::with_capacity(news.rows.len());
         if news.whole {
-            self.desk.servers.listed_anew();
+            let named = news.rows.iter().map(|row| row.0.node).collect();
+            self.desk.servers.listed_anew(self.desk.now, &named, &mut self.desk.alarms);
         }
         for (row, listing) in news.rows {
             self.desk.servers.listed(now, row.node, listing, &mut self.desk.alarms);
@@ -135,6 +136,9 @@
                     Came::Left(Some(scan)) => self.client_left(scan),
                     Came::Left(None) | Came::Nothing => {}
                 }
+            } else if let Some((node, host)) = self.desk.servers.forgotten() {
+                self.broker.forget(node);
+                self.agent.forget(node, &host);
             } else {
                 return;
             }
--- a/crates/dunepond/src/servers.rs
+++ b/crates/dunepond/src/servers.rs
@@ -1,6 +1,6 @@
 //! The nodes: their connections, the frames that go out on them and the ends that come back.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -20,6 +20,10 @@
 
 /// We close an idle connection at this share of the time at which the node does, so that no frame crosses.
 const IN_TIME: f64 = 0.9;
+/// Parts that a connection remembers after it was through with them: their ends may still come, or come twice.
+const PAST: usize = 512;
+/// Of what cannot be read, the log shows so many bytes.
+const SHOWN: usize = 48;
 
 /// A part on its way: which dispatch it is, and what its frame needs.
 pub struct Parcel {
@@ -56,6 +60,8 @@
     out: Outflow,
     carried: VecDeque<Out>,
     calls: u64,
+    /// What it has answered or was given up on it, the last ones.
+    past: VecDeque<Rc<str>>,
 }
 
 #[derive(Default)]
@@ -65,6 +71,7 @@
     cell: usize,
     started: f64,
     active: bool,
+    gone: bool,
     links: Vec<usize>,
     /// Dispatched in this call and not yet framed.
     batch: Vec<Parcel>,
@@ -87,6 +94,8 @@
     bounds: Rc<Bounds>,
     /// Nodes with something to frame.
     batched: Vec<NodeId>,
+    /// Nodes that have gone and are not forgotten yet.
+    gone: Vec<NodeId>,
     /// Ends that the module has not been told yet: it may be in the middle of the call that caused them.
     pub back: VecDeque<Back>,
 }
@@ -110,6 +119,16 @@
 }
 
 impl Link {
+    /// It is through with a part.
+    fn take(&mut self, at: usize) -> Option<Out> {
+        let out = self.carried.remove(at)?;
+        self.past.push_back(out.parcel.id.clone());
+        if self.past.len() > PAST {
+            self.past.pop_front();
+        }
+        Some(out)
+    }
+
     /// Calls that are out, each in one stretch of what is carried.
     fn calls_out(&self) -> usize {
         let mut last = None;
@@ -144,11 +163,11 @@
         most_links: usize,
     ) -> Self {
         let (pool, links, idle) = (pool.clone(), Slab::new(), BTreeMap::new());
-        let (servers, batched, back) = (Vec::new(), Vec::new(), VecDeque::new());
-        Self { handle, pool, servers, links, most_links, idle, bounds, batched, back }
+        let (servers, batched, gone, back) = (Vec::new(), Vec::new(), Vec::new(), VecDeque::new());
+        Self { handle, pool, servers, links, most_links, idle, bounds, batched, gone, back }
     }
 
-    /// What the list says of a node, which keeps its index for good.
+    /// What the list says of a node, which keeps its index until it is forgotten.
     pub fn listed(&mut self, now: f64, node: NodeId, row: Listing, alarms: &mut Alarms) {
         if node >= self.servers.len() {
             self.servers.resize_with(node + 1, Server::default);
@@ -161,6 +180,10 @@
         server.cell = row.cell;
         server.started = row.started;
         server.active = row.standing == Standing::Active;
+        if row.standing == Standing::Gone && !std::mem::replace(&mut server.gone, true) {
+            self.gone.push(node);
+        }
+        server.gone = row.standing == Standing::Gone;
         for id in server.links.clone() {
             let link = &mut self.links[id];
             if replaced && link.began < row.started {
@@ -180,8 +203,31 @@
     }
 
     /// A whole list is coming: what it does not name has gone.
-    pub fn listed_anew(&mut self) {
-        self.servers.iter_mut().for_each(|s| s.active = false);
+    pub fn listed_anew(&mut self, now: f64, named: &HashSet<NodeId>, alarms: &mut Alarms) {
+        for node in 0..self.servers.len() {
+            let Server { host, dial, cell, started, gone, .. } = &self.servers[node];
+            if *gone || host.is_empty() || named.contains(&node) {
+                continue;
+            }
+            let (host, standing) = (host.clone(), Standing::Gone);
+            self.listed(
+                now,
+                node,
+                Listing { host, dial: *dial, cell: *cell, started: *started, standing },
+                alarms,
+            );
+        }
+    }
+
+    /// The next node that has gone and that nothing of ours can name any more. With new nodes under new names
+    /// all day, whoever kept them would grow for ever.
+    pub fn forgotten(&mut self) -> Option<(NodeId, String)> {
+        let servers = &self.servers;
+        self.gone.retain(|node| servers[*node].gone);
+        let idle = |node: &NodeId| servers[*node].links.is_empty() && servers[*node].batch.is_empty();
+        let at = self.gone.iter().position(idle)?;
+        let node = self.gone.swap_remove(at);
+        Some((node, std::mem::take(&mut self.servers[node]).host))
     }
 
     pub fn any_active(&self) -> bool {
@@ -219,8 +265,9 @@
     fn call(&mut self, now: f64, node: NodeId, parcels: Vec<Parcel>, alarms: &mut Alarms) {
         let most = self.bounds.calls_a_connection;
         let links = &self.servers[node].links;
-        let open =
-            links.iter().copied().find(|id| !self.links[*id].retired && self.links[*id].calls_out() < most);
+        // Half a frame may be all that ever comes on it.
+        let fit = |l: &Link| !l.retired && l.input.is_none() && l.calls_out() < most;
+        let open = links.iter().copied().find(|id| fit(&self.links[*id]));
         let id = match open.map_or_else(|| self.connect(now, node, alarms), Ok) {
             Ok(id) => id,
             Err(ending) => {
@@ -263,6 +310,7 @@
             out: Outflow::new(&self.pool),
             carried: VecDeque::new(),
             calls: 0,
+            past: VecDeque::new(),
         });
         self.servers[node].links.push(id);
         debug!("node {}: opening a connection", self.name(node));
@@ -307,6 +355,17 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if input.is_empty() {
                         link.input = None;
+                        // All of a frame has come; an idle connection's alarm stays.
+                        if let Some(key) = link.alarm.take_if(|key| !self.idle.contains_key(key)) {
+                            alarms.unset(Some(key));
+                        }
+                    } else if link.carried.is_empty() {
+                        // Half of a frame that nobody waits for: what comes next would be taken for its rest.
+                        return self.end(now, id, Ending::Garbled, alarms);
+                    } else if link.alarm.is_none() {
+                        // The rest of a frame may never come: it has as long as a connection to come up.
+                        let until = now + self.bounds.connect_timeout;
+                        link.alarm = Some(alarms.set(until, Due::Link(id)));
                     }
                     return;
                 }
@@ -320,35 +379,46 @@
 
     /// Takes the whole frames out of what has come.
     fn frames(&mut self, now: f64, id: usize) -> Option<Ending> {
-        let link = &mut self.links[id];
-        let input = link.input.as_mut()?;
         loop {
-            let used = match frames::read(input.held()) {
+            let link = &mut self.links[id];
+            let host = &self.servers[link.node].host;
+            let held = link.input.as_ref()?.held();
+            let told = match frames::read(held) {
                 Ok(None) => return None,
-                Err(why) => {
-                    warn!("node {}: {why}", self.servers[link.node].host);
-                    return Some(Ending::Garbled);
-                }
                 Ok(Some((Said::Complaint(words), _))) => {
-                    warn!("node {}: {}", self.servers[link.node].host, words.escape_debug());
+                    warn!("node {host}: {}", words.escape_debug());
                     return Some(Ending::Complaint);
                 }
                 Ok(Some((Said::Ended { id, word, value }, used))) => {
-                    // What is no longer out was given up; its end has been told.
-                    if let Some(at) = link.carried.iter().position(|o| *o.parcel.id == *id)
-                        && let Some(o) = link.carried.remove(at)
-                    {
-                        let (end, value) = match word {
-                            Word::Hit => (End::Completed, Some(value.to_string())),
-                            Word::Fault => (End::Error, None),
-                            Word::Overload => (End::Full, None),
-                        };
-                        self.back.push_back(o.back(link.node, end, now, value));
+                    let (end, value) = match word {
+                        Word::Hit => (End::Completed, Some(value.to_string())),
+                        Word::Fault => (End::Error, None),
+                        Word::Overload => (End::Full, None),
+                    };
+                    match link.carried.iter().position(|o| *o.parcel.id == *id) {
+                        // Given up, or answered before: its end has been told.
+                        None if link.past.iter().any(|past| **past == *id) => Ok((used, None)),
+                        // It may belong to any part that waits here.
+                        None => Err("an E for a part that is not out"),
+                        at => Ok((used, at.map(|at| (at, end, value)))),
                     }
-                    used
                 }
+                Err(why) => Err(why),
             };
-            input.consume(used);
+            match told {
+                Ok((used, told)) => {
+                    if let Some((at, end, value)) = told
+                        && let Some(out) = link.take(at)
+                    {
+                        self.back.push_back(out.back(link.node, end, now, value));
+                    }
+                    link.input.as_mut()?.consume(used);
+                }
+                Err(why) => {
+                    warn!("node {host}: {why}: {}", held[..held.len().min(SHOWN)].escape_ascii());
+                    return Some(Ending::Garbled);
+                }
+            }
         }
     }
 
@@ -367,7 +437,7 @@
         for id in self.servers.get(node).map(|s| s.links.clone()).unwrap_or_default() {
             let link = &mut self.links[id];
             let Some(at) = link.carried.iter().position(|o| o.parcel.key() == key) else { continue };
-            let Some(out) = link.carried.remove(at) else { continue };
+            let Some(out) = link.take(at) else { continue };
             if out.to.is_none_or(|to| to > link.out.written()) {
                 // Its frame must not arrive after the scan's answer, and cannot be cut out of the stream.
                 self.end(now, id, Ending::CutShort, alarms);
@@ -399,18 +469,18 @@
         false
     }
 
+    /// Sends nothing new on the connections to a node, and closes them as nothing is out on them.
     pub fn close_idle(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) {
         for id in self.servers.get(node).map(|s| s.links.clone()).unwrap_or_default() {
-            if self.links[id].carried.is_empty() {
-                self.end(now, id, Ending::Unused, alarms);
-            }
+            self.links[id].retired = true;
+            self.rest(now, id, alarms);
         }
     }
 
     /// Sets the time at which a connection that carries nothing is closed.
     fn rest(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         let Some(link) = self.links.get_mut(id).filter(|l| l.up && l.carried.is_empty()) else { return };
-        if link.retired {
+        if link.retired || link.input.is_some() {
             return self.end(now, id, Ending::Unused, alarms);
         }
         if link.alarm.is_none() {
@@ -420,10 +490,14 @@
         }
     }
 
-    /// A connection's time is up: to come up, or to carry something.
+    /// A connection's time is up: to come up, to carry something, or to bring the rest of a frame.
     pub fn due(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
-        let up = self.links.get(id).is_some_and(|link| link.up);
-        self.end(now, id, if up { Ending::Unused } else { Ending::NeverUp }, alarms);
+        let ending = match self.links.get(id) {
+            Some(link) if !link.up => Ending::NeverUp,
+            Some(link) if !link.carried.is_empty() => Ending::Stalled,
+            _ => Ending::Unused,
+        };
+        self.end(now, id, ending, alarms);
     }
 
     /// The one way a connection goes: what it carried is told by how it ended.
--- a/crates/dunepond/tests/store/mod.rs
+++ b/crates/dunepond/tests/store/mod.rs
@@ -19,6 +19,8 @@
 pub enum Manner {
     Serve,
     Hang,
+    /// Its first connection stays open and silent for good; the others serve.
+    HangFirst,
     /// Takes the parts of this shard and answers none of them.
     HangFor(usize),
     /// Takes a quarter of a second over the parts of this shard.
@@ -29,6 +31,12 @@
     /// Answers with a frame that says it could not use the last one.
     Complain,
     Garble,
+    /// Answers, and sends this right behind.
+    ServeAnd(&'static [u8]),
+    /// Answers, with this in place of the line's words behind the id.
+    ServeLine(&'static str),
+    /// Answers with this, whatever it is.
+    Spoil(&'static [u8]),
     /// Sends an end that nobody waits for before the one that is asked.
     ServeWithAnOldEnd,
 }
@@ -68,8 +76,12 @@
             for stream in listener.incoming().flatten() {
                 let (manner, seen) = (manner.clone(), seen.clone());
                 thread::spawn(move || {
-                    seen.0.lock().unwrap().connections += 1;
-                    let _ = Self::attend(stream, &manner, &seen);
+                    let number = {
+                        let mut seen = seen.0.lock().unwrap();
+                        seen.connections += 1;
+                        seen.connections
+                    };
+                    let _ = Self::attend(stream, number, &manner, &seen);
                     seen.0.lock().unwrap().closed += 1;
                     seen.1.notify_all();
                 });
@@ -80,6 +92,7 @@
 
     fn attend(
         mut stream: TcpStream,
+        number: usize,
         manner: &Mutex<Manner>,
         seen: &(Mutex<Seen>, Condvar),
     ) -> std::io::Result<()> {
@@ -99,17 +112,26 @@
             let manner = *manner.lock().unwrap();
             match manner {
                 Manner::Hang => {}
+                Manner::HangFirst if number == 1 => {}
                 Manner::HangFor(shard) if line.split(' ').nth(1) == Some(&shard.to_string()) => {}
                 Manner::SlowFor(shard) if line.split(' ').nth(1) == Some(&shard.to_string()) => {
                     thread::sleep(Duration::from_millis(250));
                     stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?;
                 }
-                Manner::Serve | Manner::HangFor(_) | Manner::SlowFor(_) => {
+                Manner::Serve | Manner::HangFirst | Manner::HangFor(_) | Manner::SlowFor(_) => {
                     stream.write_all(&frame(b'E', &format!("{id} hit 7 -\nv-{value}")))?
                 }
                 Manner::Say(word) => stream.write_all(&frame(b'E', &format!("{id} {word} 7 -\n")))?,
                 Manner::Complain => stream.write_all(&frame(b'F', "what is this"))?,
                 Manner::Garble => stream.write_all(&frame(b'X', "?"))?,
+                Manner::ServeAnd(more) => {
+                    let good = frame(b'E', &format!("{id} hit 7 -\nv-{value}"));
+                    stream.write_all(&[&good, more].concat())?;
+                }
+                Manner::ServeLine(words) => {
+                    stream.write_all(&frame(b'E', &format!("{id} {words}\nv-{value}")))?
+                }
+                Manner::Spoil(bytes) => stream.write_all(bytes)?,
                 Manner::ServeWithAnOldEnd => {
                     let frames =
                         [frame(b'E', "c1.2 hit 7 -\nold"), frame(b'E', &format!("{id} hit 7 -\nv-{value}"))];
@@ -308,6 +330,7 @@
 pub struct Broker {
     child: Child,
     pub address: SocketAddr,
+    log: Arc<Mutex<String>>,
     pub file: PathBuf,
 }
 
@@ -344,8 +367,12 @@
         let line = lines.by_ref().map_while(Result::ok).find(|line| line.contains("listening on"));
         let address = line.unwrap().split(' ').next_back().unwrap().parse().unwrap();
         // Read on to its end, or the broker would come to stand still on a full pipe.
-        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| println!("{line}")));
-        Self { child, address, file }
+        let log = Arc::new(Mutex::new(String::new()));
+        let shared = log.clone();
+        thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| *shared.lock().unwrap() += &format!("{line}\n"))
+        });
+        Self { child, address, log, file }
     }
 
     /// A broker before these nodes, with a list that names them.
@@ -374,6 +401,11 @@
         assert!(status.success());
     }
 
+    /// What it has logged since it listened.
+    pub fn said(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
     pub fn exit_code(&mut self) -> Option<i32> {
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
@@ -388,6 +420,7 @@
 
 impl Drop for Broker {
     fn drop(&mut self) {
+        println!("{}", self.said());
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -109,6 +109,55 @@
     assert!(!nodes[0].frames('A').is_empty());
 }
 
+/// The node is well: whoever waited for that connection to speak would lose it for good.
+#[test]
+fn a_connection_that_fell_silent_is_replaced() {
+    let nodes = nodes(1);
+    nodes[0].behave(Manner::HangFirst);
+    let (broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    let served = |i| {
+        std::thread::sleep(Duration::from_millis(50));
+        client.ask(&scan("find", &format!("c{i}"), &[2], "0.5")).status == 200
+    };
+    assert!((0..50).any(served));
+}
+
+/// The value is good, and what comes with it is no reason to lose it, or the next one.
+#[rstest]
+#[case::copy(Manner::ServeAnd(b"\0\0\0\x11Ec0.2 hit 7 -\nv-q1"))]
+#[case::noise(Manner::ServeAnd(b"?!?!?!?!"))]
+#[case::half_a_frame(Manner::ServeAnd(b"\0\0\0\x30E"))]
+#[case::report(Manner::ServeLine("hit 7 {\"load\": zz, "))]
+fn a_good_answer_with_more_than_belongs_to_it_is_used(#[case] manner: Manner) {
+    let nodes = nodes(1);
+    nodes[0].behave(manner);
+    let (broker, _list) = Broker::before(&nodes);
+    let mut client = Client::to(&broker);
+    for i in 0..3 {
+        let answer = client.ask(&scan("fix", &format!("c{i}"), &[2], "2.0"));
+        assert_eq!((answer.status, &answer.body["found"][0]["item"]), (200, &json!("v-q1")));
+    }
+}
+
+/// It may have run, and its connection will bring nothing more: there is nothing to wait for.
+#[rstest]
+#[case::another_id(Manner::Spoil(b"\0\0\0\x10Ec9.2 hit 7 -\nv-q"))]
+#[case::the_rest_never_comes(Manner::Spoil(b"\0\0\0\x30Ec0.2 hit 7 -\nv-"))]
+#[case::three_gigabytes(Manner::Spoil(b"\xb2\xd0\x5e\0Ec0.2 hit 7 -\nv-"))]
+#[case::no_score(Manner::ServeLine("hit x -"))]
+#[case::no_end(Manner::ServeLine("hitt 7 -"))]
+fn a_spoilt_answer_fails_its_part_at_once_and_is_never_served(#[case] manner: Manner) {
+    let nodes = nodes(1);
+    nodes[0].behave(manner);
+    let (broker, _list) = Broker::before(&nodes);
+    let (mut client, start) = (Client::to(&broker), Instant::now());
+    assert_eq!(client.ask(&scan("fix", "c0", &[2], "2.9")).status, 502);
+    assert!(start.elapsed() < Duration::from_millis(1500));
+    nodes[0].behave(Manner::Serve);
+    assert_eq!(client.ask(&scan("fix", "c1", &[2], "2.0")).status, 200);
+}
+
 /// The last byte of its frame had been written: it may have run, and saying "try again" would be a lie.
 #[rstest]
 #[case(Manner::DieMidFrame, 502)]
@@ -165,7 +214,8 @@
     let mut first = Client::to(&broker);
     first.send(&scan("find", "c1", &[0, 1, 2], "2.0"));
     nodes[0].wait_for('A', 3);
-    assert_eq!(Client::to(&broker).ask(&scan("find", "c2", &[0], "2.0")).status, 503);
+    let away = Client::to(&broker).ask(&scan("find", "c2", &[0], "2.0"));
+    assert!(away.status == 503 && away.head.contains("Retry-After: 2.000"), "{away:?}");
     drop(first);
     nodes[0].wait_for('B', 3);
     nodes[0].behave(Manner::Serve);
@@ -221,6 +271,26 @@
     }
 }
 
+/// All day, each under a name of its own: kept for good they would grow without end.
+#[test]
+fn nodes_under_new_names_take_the_places_of_those_that_went() {
+    let nodes = nodes(9);
+    let (broker, list) = Broker::before(&nodes[..2]);
+    let mut client = Client::to(&broker);
+    for i in 0..8 {
+        list.tell(vec![nodes[i].line("ready"), nodes[i + 1].line("ready")]);
+        list.wait_read();
+        for j in 0..4 {
+            let answer = client.ask(&scan("find", &format!("c{i}-{j}"), &[0, 1], "2.0"));
+            assert_eq!((answer.status, &answer.body["finished"]), (200, &json!(true)));
+        }
+    }
+    let said = broker.said();
+    assert!(said.contains("node 2 is ") && !said.contains("node 3 is "));
+    assert!(nodes.iter().all(|n| n.connections() <= 1));
+    (0..7).for_each(|i| nodes[i].wait_closed(nodes[i].connections()));
+}
+
 #[test]
 fn a_silent_list_leaves_the_last_one_in_force_until_it_speaks_again() {
     let nodes = nodes(2);
