--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -25,8 +25,10 @@
 const ASKS: f64 = 2.0;
 /// Longest that a client may take over taking an answer, once that has begun.
 const TAKES: f64 = 10.0;
-/// How long a connection is kept on which nothing is asked: some ask once and stay for good.
+/// How long a connection is kept on which nothing is asked, and how many such there may be, as a part of all:
+/// some ask once and stay for good, and clients that may hold only so many then have none left to ask on.
 const RESTS: f64 = 4.0;
+const RESTING: usize = 4;
 /// Who has not asked for so long makes room before those that rest, which have asked before.
 const LATE: f64 = 0.25;
 /// Connections accepted, and reads from one client, before all others have their turn; and how soon the one
@@ -458,6 +460,11 @@
                 let key = self.set(id, now + RESTS, alarms);
                 self.resting.insert(key, id);
                 self.make_room(alarms);
+                if self.resting.len() > self.most / RESTING
+                    && let Some(longest) = self.resting.first_key_value().map(|(_, id)| *id)
+                {
+                    self.end(longest, Ending::Unused, alarms);
+                }
             }
             Phase::Head => {
                 // Closed at once, with something unread, it would take the answer back.
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -478,6 +478,22 @@
     assert_eq!(client.stream.read(&mut [0]).unwrap(), 0);
 }
 
+/// Clients may hold only so many: those that none is asked on must not use them up.
+#[test]
+fn who_asks_once_and_stays_is_let_go_for_those_that_ask() {
+    let (broker, _list) = Broker::before_with(&nodes(1), "/limits/sockets", json!(88));
+    let start = Instant::now();
+    let ask = |i| {
+        let mut client = Client::to(&broker);
+        assert_eq!(client.ask(&scan("find", &format!("c{i}"), &[0], "2.0")).status, 200);
+        client
+    };
+    let mut clients: Vec<_> = (0..40).map(ask).collect();
+    assert_eq!(clients[39].ask(&scan("find", "last", &[0], "2.0")).status, 200);
+    assert!(clients[..28].iter_mut().all(|client| client.stream.read(&mut [0]).unwrap() == 0));
+    assert!(start.elapsed() < Duration::from_secs(3));
+}
+
 #[test]
 fn more_nodes_than_it_may_have_connections_to_are_met_in_turn() {
     let nodes = nodes(20);
