Wait for holders that may only have paused instead of turning their scans away

At fault: wait_for counted only holders in service or due a trial, and gave MAX where there was none.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -280,11 +280,8 @@
 
     pub fn listed(&mut self, host: &mut dyn Host, complete: bool, rows: &[Listed]) {
         self.hear(host);
-        if complete {
-            for node in self.nodes.iter_mut().flatten() {
-                node.standing = Standing::Gone;
-            }
-        }
+        let missing = self.nodes.iter_mut().flatten().filter(|_| complete);
+        missing.for_each(|node| node.standing = Standing::Gone);
         for row in rows {
             self.nodes.resize_with(self.nodes.len().max(row.node + 1), || None);
             self.zones.resize_with(self.zones.len().max(row.zone + 1), VecDeque::new);
@@ -410,10 +407,8 @@
                 self.judge(host, node);
             }
         }
-        let due = self.scans.values().filter(|held| held.due <= self.now);
-        for id in due.map(|held| held.id).collect::<Vec<_>>() {
-            self.pass(host, id);
-        }
+        let due: Vec<_> = self.scans.values().filter(|h| h.due <= self.now).map(|h| h.id).collect();
+        due.into_iter().for_each(|id| self.pass(host, id));
         self.arm(host);
     }
 
@@ -478,11 +473,14 @@
     /// its last ones took beyond ease. Where there is none the wait has no end: a scan sent to dead nodes
     /// would only take the others' time. That is no overload: scans of other segments do not feel it.
     fn wait_for(&self, seg: usize) -> f64 {
-        let trusted =
-            self.holders(seg).map(|h| h.1).filter(|n| n.aside.as_ref().is_none_or(|a| self.trial(n, a)));
-        let waits = trusted.map(|n| match n.outs.first() {
+        let waits = self.holders(seg).map(|(_, n)| match (&n.aside, n.outs.first()) {
             _ if self.full(n) => f64::MAX,
-            oldest => {
+            // Until its first trial is met with silence too, it may only have paused: the scan has time for that.
+            (Some(a), _) if self.now - n.heard < (2.0 * SILENT + REST) * self.nearly_all => {
+                (a.again - self.now).max(0.0)
+            }
+            (Some(a), _) if !self.trial(n, a) => f64::MAX,
+            (_, oldest) => {
                 // What it did before it was set aside says nothing of its trial.
                 let lately = if n.aside.is_some() { 0.0 } else { self.usual(n, LATELY, |_| 0.0) - self.ease };
                 oldest.map_or(0.0, |o| self.now - o.at).max(lately)
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -688,6 +688,23 @@
     assert!(town.host.probed.is_empty());
 }
 
+/// Nodes that collect their garbage are silent for as long as that takes, and neighbours may do so together.
+#[test]
+fn a_scan_whose_holders_all_paused_a_moment_ago_is_not_turned_away() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    (0..3).for_each(|node| town.host.nodes[node] = None);
+    let mut all_aside = || {
+        town.traffic(FULL, 0.1, 0.02);
+        (0..3).all(|n| town.aside(n))
+    };
+    assert!((0..12).any(|_| all_aside()));
+    (0..3).for_each(|node| town.host.nodes[node] = Some((End::Completed, 0.2)));
+    let scans = [FULL, FIX].map(|table_type| town.scan(table_type, &[0]));
+    town.traffic(FULL, 2.0, 0.02);
+    assert!(scans.iter().all(|scan| town.finals(*scan) == [WHOLE]));
+}
+
 #[test]
 fn a_dead_node_is_no_overload_but_a_block_with_no_other_is_turned_away() {
     let mut town = Town::new(site());
