Take the nearer of two holders that weigh nearly the same

A node in another zone now weighs a tenth more, which decides between equals and between those that differ by no more than their samples scatter; one part more of ours still decides otherwise. The settings' own zone is read for it. The choice stays the lighter of two sampled.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -46,6 +46,8 @@
 const PROMPT: f64 = 4.0;
 /// Ticks by which a wake may be late before we take it that we stood still.
 const STOOD_STILL: f64 = 10.0;
+/// What a node in another zone weighs more: of two that hold as much of ours, the near one costs less.
+const FAR: f64 = 1.1;
 /// A second step waits again, mostly for lighter parts.
 const TWO_STEPS: f64 = 1.5;
 
@@ -765,7 +767,8 @@
         let Some(node) = &self.nodes[id] else { return 0.0 };
         let fault = |s: &Sample| if s.table_type == table_type { self.nearly_all } else { self.median };
         let slower = (self.usual(node, FRESH, fault) / self.median).max(1.0);
-        (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
+        let far = if node.zone == self.site.zone { 1.0 } else { FAR };
+        far * (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
 
     /// What dispatches to this node take; a fault comes back soon, and counts for as long as it is said to.
@@ -882,8 +885,7 @@
             true => 0.4 * q * shortest,
             false => sorted[(sorted.len() as f64 * q) as usize],
         };
-        let least = self.site.tick;
-        let median = usual(0.5).max(least);
+        let median = usual(0.5).max(self.site.tick);
         if sorted.len() >= 2 * NODE_SAMPLES {
             self.ease = self.ease.min(median);
         }
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -91,6 +91,8 @@
 pub struct Deployment {
     pub seed: u64,
     pub brokers: f64,
+    /// Our own zone.
+    pub zone: usize,
     pub table_types: Vec<TableType>,
     /// Each customer's scans a second within its share, all brokers together.
     pub quotas: Vec<f64>,
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -107,6 +107,7 @@
     Deployment {
         seed: 7,
         brokers: 3.0,
+        zone: 0,
         table_types: vec![quick, full, fix, keyed, two_step, partial, patient],
         quotas: Vec::new(),
         benefit_by_work: false,
--- a/crates/dunepond-settings/src/lib.rs
+++ b/crates/dunepond-settings/src/lib.rs
@@ -157,6 +157,7 @@
     Ok(Deployment {
         seed,
         brokers: settings.number("balancers")?,
+        zone: settings.count_or("zone", 0)? as usize,
         table_types,
         quotas,
         benefit_by_work: settings.text("countedBy")? == "work",
