--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -169,8 +169,8 @@
     again: VecDeque<f64>,
     /// When the last probes ended, and whether with more than a sign of life.
     probes: VecDeque<(f64, bool)>,
-    /// When what was sent after an idle time broke at once, and how long that had been.
-    reaped: VecDeque<(f64, f64)>,
+    /// When what was sent after an idle time broke at once, or after one alike did not, and how long it was.
+    reaped: VecDeque<(f64, f64, bool)>,
     wake_due: f64,
     /// What dispatches take at the median and nearly all of them, worked out once: a burst asks often.
     median: f64,
@@ -242,7 +242,6 @@
         self.samples.iter().any(|s| s.served && !failed(s.table_type))
     }
 
-    /// How long it has been silent while it owed us something.
     fn silent(&self, now: f64) -> f64 {
         self.outs.first().map_or(0.0, |oldest| now - oldest.at.max(self.heard))
     }
@@ -475,12 +474,11 @@
     /// its last ones took beyond ease. Where there is none the wait has no end: a scan sent to dead nodes
     /// would only take the others' time. That is no overload: scans of other segments do not feel it.
     fn wait_for(&self, seg: usize) -> f64 {
+        let pause = (2.0 * SILENT + REST) * self.nearly_all;
         let waits = self.holders(seg).map(|(_, n)| match (&n.aside, n.outs.first()) {
             _ if self.full(n) => f64::MAX,
-            // Until its first trial is met with silence too, it may only have paused: the scan has time for that.
-            (Some(a), _) if self.now - n.heard < (2.0 * SILENT + REST) * self.nearly_all => {
-                (a.again - self.now).max(0.0)
-            }
+            // Until its first trial is met with silence too, it may only have paused: there is time for that.
+            (Some(a), _) if self.now - n.heard < pause => (a.again - self.now).max(0.0),
             (Some(a), _) if !self.trial(n, a) => f64::MAX,
             (_, oldest) => {
                 // What it did before it was set aside says nothing of its trial.
@@ -692,9 +690,11 @@
     }
 
     fn dispatch(&mut self, host: &mut dyn Host, held: &mut Held, part: usize, node: NodeId) {
-        let idle = self.nodes[node].as_ref().filter(|n| n.outs.is_empty()).map_or(0.0, |n| self.now - n.used);
+        let mut idle =
+            self.nodes[node].as_ref().filter(|n| n.outs.is_empty()).map_or(0.0, |n| self.now - n.used);
         if self.stale(idle) {
             host.close_idle(node);
+            idle = 0.0;
         }
         host.dispatch(held.id, part, node);
         let shots = &mut held.pieces[part].shots;
@@ -712,10 +712,10 @@
         }
     }
 
-    /// Connections left idle for so long have been found broken, at two dispatches at least: something on the
-    /// way drops them unseen. A new one costs less than a part lost, or one that must not be sent again.
+    /// Connections left idle for so long have been found broken, two of the last eight: something on the way
+    /// drops them unseen. A new one costs less than a part lost; but some break at any time, otherwise.
     fn stale(&self, idle: f64) -> bool {
-        let broke = self.reaped.iter().filter(|r| r.0 > self.since(2.0 * FRESH) && idle > 0.5 * r.1);
+        let broke = self.reaped.iter().filter(|r| r.2 && r.0 > self.since(2.0 * FRESH) && idle > 0.5 * r.1);
         broke.count() >= FAULTS
     }
 
@@ -936,7 +936,7 @@
             // Broken at once on a connection that lay idle: that is no fault of the node, which has not even
             // seen it. A crash breaks what is out at any time.
             End::Dropped if out.idle > median && took < PROMPT * self.site.tick => {
-                return keep_last(&mut self.reaped, (self.now, out.idle), NODE_SAMPLES);
+                return keep_last(&mut self.reaped, (now, out.idle, true), NODE_SAMPLES);
             }
             // What one connection takes with it is one fault, however many parts were out on it.
             End::Dropped | End::NoConnection if again => return,
@@ -959,6 +959,9 @@
         if withdrawn {
             return;
         }
+        if served && self.reaped.iter().any(|r| out.idle > 0.5 * r.1) {
+            keep_last(&mut self.reaped, (now, out.idle, false), NODE_SAMPLES);
+        }
         if let Some(aside) = &mut node.aside {
             if served && took <= SLOW * median {
                 aside.room *= 2;
@@ -977,8 +980,7 @@
 
     /// Sets a node aside by its symptoms.
     fn judge(&mut self, host: &mut dyn Host, id: NodeId) {
-        let silence = SILENT * self.nearly_all;
-        let now = self.now;
+        let (now, silence) = (self.now, SILENT * self.nearly_all);
         let Some(node) = self.nodes[id].as_mut() else { return };
         node.ghosts.retain(|until| *until > now);
         if let Some(aside) = &mut node.aside {
@@ -998,9 +1000,7 @@
         // It may be only a connection that fell silent: a trial on that would tell nothing of the node.
         host.close_idle(id);
         for out in &node.outs {
-            if let Some(held) = self.scans.get_mut(&out.scan) {
-                held.due = now;
-            }
+            self.scans.get_mut(&out.scan).into_iter().for_each(|held| held.due = now);
         }
         host.log(&format!("node {id} is set aside: {why}"));
     }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -319,6 +319,20 @@
     assert!((0..6).all(|n| !town.aside(n)));
 }
 
+/// Some connections break at any time, whatever they did before: most dispatches after as long an idle time go well.
+#[test]
+fn breaks_among_many_that_go_well_are_no_reason_to_open_anew() {
+    let mut town = Town::new(site());
+    town.traffic(FULL, 3.0, 0.05);
+    for turn in 0..40 {
+        let end = if turn % 13 == 0 { (End::Dropped, 0.002) } else { (End::Completed, 0.2) };
+        town.host.nodes = vec![Some(end); 6];
+        town.scan(FIX, &[turn % 6]);
+        town.run(1.0);
+    }
+    assert!(town.host.closed.is_empty(), "{:?}", town.host.closed);
+}
+
 #[test]
 fn a_node_that_fails_one_table_type_keeps_the_others() {
     let mut town = Town::new(site());
