--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -713,7 +713,7 @@
     }
 
     /// Connections left idle for so long have been found broken, two of the last eight: something on the way
-    /// drops them unseen. A new one costs less than a part lost; but some break at any time, otherwise.
+    /// drops them unseen. A new one costs less than a part lost; yet some break for other causes.
     fn stale(&self, idle: f64) -> bool {
         let broke = self.reaped.iter().filter(|r| r.2 && r.0 > self.since(2.0 * FRESH) && idle > 0.5 * r.1);
         broke.count() >= FAULTS
