Keep the list's line of a node as it came, in place of six copies of its fields

Read again, behaviour as before, no test touched: - servers.rs: a node keeps its Listing; whether it is in service or gone is read from that instead of two flags, and a node that a whole list leaves out is listed as gone with that line. A spoilt answer is said and ended in one place instead of being carried as a result to a second match. - list.rs: the indices come from the slab that clients and connections already use, not from a count and a list of free ones of our own. - clients.rs: one way to come to rest beside the one to ask; the reading loop has no end that cannot be reached. - config.rs: the bound on clients and the one on buffers each under its own name instead of a pair.

--- a/crates/dunepond/src/clients.rs
+++ b/crates/dunepond/src/clients.rs
@@ -127,7 +127,8 @@
         handle: LoopHandle<'static, World>,
         pool: &Pool,
         bounds: Rc<Bounds>,
-        (most, most_buffers): (usize, usize),
+        most: usize,
+        most_buffers: usize,
         listener: TcpListener,
     ) -> calloop::Result<Self> {
         let source = Generic::new(listener.try_clone()?, Interest::READ, Mode::Level);
@@ -292,7 +293,8 @@
 
     /// Reads on until there is a scan, or nothing more for now.
     pub fn next(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Came {
-        for read in 0.. {
+        let mut reads = 0;
+        loop {
             if let Some(asked) = self.decode(now, id, alarms) {
                 return Came::Scan(asked);
             }
@@ -301,11 +303,12 @@
             if !client.readable || full || client.more {
                 return Came::Nothing;
             }
-            if read == READS {
+            if reads == READS {
                 client.more = true;
                 alarms.set(now + SOON, Due::ClientMore(id));
                 return Came::Nothing;
             }
+            reads += 1;
             if client.input.is_none() && self.pool.out() >= self.most_buffers {
                 self.spare(id, alarms);
             }
@@ -327,7 +330,6 @@
                 Err(e) => return Came::Left(self.end(id, Ending::of(&e), alarms)),
             }
         }
-        Came::Nothing
     }
 
     /// Ends whoever has been over a request the longest and holds a buffer for it.
@@ -457,8 +459,7 @@
             // It has taken all: held against it later, its alarm would end it while its next scan is held.
             Phase::Waiting | Phase::Held(_) => self.calm(id, alarms),
             Phase::Head if keep => {
-                let key = self.set(id, now + RESTS, alarms);
-                self.resting.insert(key, id);
+                self.rests(id, now + RESTS, alarms);
                 self.make_room(alarms);
                 if self.resting.len() > self.most / RESTING
                     && let Some(longest) = self.resting.first_key_value().map(|(_, id)| *id)
@@ -470,8 +471,7 @@
                 // Closed at once, with something unread, it would take the answer back.
                 let _ = client.stream.shutdown(Shutdown::Write);
                 client.phase = Phase::Parting;
-                let key = self.set(id, now + PARTING, alarms);
-                self.resting.insert(key, id);
+                self.rests(id, now + PARTING, alarms);
             }
             Phase::Body(_) | Phase::Parting => {}
         }
@@ -483,6 +483,12 @@
         self.asking.insert(key, id);
     }
 
+    /// It waits for nothing, until then at most.
+    fn rests(&mut self, id: usize, until: f64, alarms: &mut Alarms) {
+        let key = self.set(id, until, alarms);
+        self.resting.insert(key, id);
+    }
+
     fn set(&mut self, id: usize, at: f64, alarms: &mut Alarms) -> Key {
         self.calm(id, alarms);
         let key = alarms.set(at, Due::ClientSlow(id));
--- a/crates/dunepond/src/config.rs
+++ b/crates/dunepond/src/config.rs
@@ -20,8 +20,9 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub level: LevelFilter,
-    /// Connections, and the buffers that may be in use before one more is taken for a request.
-    pub most_clients: (usize, usize),
+    pub most_clients: usize,
+    /// Buffers that may be in use before one more is taken for a request.
+    pub most_buffers: usize,
     pub most_links: usize,
     pub deployment: Deployment,
     pub bounds: Bounds,
@@ -75,8 +76,8 @@
     // Connections hold buffers only while something is in them. A quarter of the memory is for those; the rest
     // for scans in hand, queued frames and the program itself.
     let most = sockets.saturating_sub(OWN_SOCKETS);
-    let buffers = (memory * 1024.0 * 1024.0 / 4.0 / SIZE as f64) as usize;
-    if most < 16 || buffers < 16 {
+    let most_buffers = (memory * 1024.0 * 1024.0 / 4.0 / SIZE as f64) as usize;
+    if most < 16 || most_buffers < 16 {
         return Err(config.bad("limits", "too little memory or sockets for any connections"));
     }
     // Each node is sent to on few connections, by however many clients.
@@ -86,7 +87,8 @@
         listen: address("GW_LISTEN", "listen")?,
         discovery: address("GW_DISCOVERY", "discovery")?,
         level,
-        most_clients: (most as usize - most_links, buffers),
+        most_clients: most as usize - most_links,
+        most_buffers,
         most_links,
         deployment,
         bounds: bounds(&settings)?,
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -10,6 +10,7 @@
 use dunepond_settings::{Bad, Bounds, Fields};
 use log::{debug, info, warn};
 use serde_json::Value;
+use slab::Slab;
 
 use crate::buffers::{Buffer, Outflow, Pool};
 use crate::clock::{Alarms, Due, Key};
@@ -47,8 +48,8 @@
     pool: Pool,
     address: SocketAddr,
     nodes: HashMap<String, NodeId>,
-    /// Indices below the highest that no node has.
-    free: Vec<NodeId>,
+    /// Which indices the nodes have.
+    taken: Slab<()>,
     zones: Vec<String>,
     talk: Option<Talk>,
     alarm: Option<Key>,
@@ -69,8 +70,8 @@
     ) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (talk, alarm, seq, pause) = (None, None, None, AGAIN.0);
-        let (free, asked, awaiting) = (Vec::new(), f64::MIN, false);
-        Self { handle, pool, address, nodes, free, zones, talk, alarm, seq, asked, awaiting, pause }
+        let (taken, asked, awaiting) = (Slab::new(), f64::MIN, false);
+        Self { handle, pool, address, nodes, taken, zones, talk, alarm, seq, asked, awaiting, pause }
     }
 
     pub fn call(&mut self, now: f64, alarms: &mut Alarms) {
@@ -223,7 +224,7 @@
     /// Nothing names this node any more: its index may be given to another.
     pub fn forget(&mut self, node: NodeId, host: &str) {
         if self.nodes.remove(host).is_some() {
-            self.free.push(node);
+            self.taken.remove(node);
         }
     }
 
@@ -262,9 +263,8 @@
             self.zones.push(site.to_string());
             self.zones.len() - 1
         });
-        let next = self.nodes.len() + self.free.len();
         let node = *self.nodes.entry(host.to_string()).or_insert_with(|| {
-            let node = self.free.pop().unwrap_or(next);
+            let node = self.taken.insert(());
             info!("discovery: node {node} is {host} at {}", dial.map_or("?".to_string(), |d| d.to_string()));
             node
         });
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -236,7 +236,8 @@
     let known = agent.read(&start.known).ok();
     let listener = clients::listen(start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
     let local = listener.local_addr().map_err(|e| failed("GW_LISTEN", &e))?;
-    let clients = Clients::new(handle.clone(), &pool, bounds.clone(), start.most_clients, listener);
+    let clients =
+        Clients::new(handle.clone(), &pool, bounds.clone(), start.most_clients, start.most_buffers, listener);
     let clients = clients.map_err(|e| failed("GW_LISTEN", &e))?;
     let servers = Servers::new(handle, &pool, bounds.clone(), start.most_links);
     let desk = Desk::new(&start.deployment, bounds, clients, servers);
--- a/crates/dunepond/src/servers.rs
+++ b/crates/dunepond/src/servers.rs
@@ -66,12 +66,8 @@
 
 #[derive(Default)]
 struct Server {
-    host: String,
-    dial: Option<SocketAddr>,
-    cell: usize,
-    started: f64,
-    active: bool,
-    gone: bool,
+    /// What the list said last; nothing where the index is nobody's.
+    row: Option<Listing>,
     links: Vec<usize>,
     /// Dispatched in this call and not yet framed.
     batch: Vec<Parcel>,
@@ -100,6 +96,16 @@
     pub back: VecDeque<Back>,
 }
 
+impl Server {
+    fn name(&self) -> &str {
+        self.row.as_ref().map_or("?", |row| &row.host)
+    }
+
+    fn stands(&self, standing: Standing) -> bool {
+        self.row.as_ref().is_some_and(|row| row.standing == standing)
+    }
+}
+
 impl Out {
     fn back(self, node: NodeId, end: End, now: f64, value: Option<String>) -> Back {
         let Parcel { scan, part, shot, .. } = self.parcel;
@@ -173,26 +179,23 @@
             self.servers.resize_with(node + 1, Server::default);
         }
         let server = &mut self.servers[node];
-        let moved = server.dial.is_some() && server.dial != row.dial;
-        let replaced = row.started > server.started;
-        server.host = row.host;
-        server.dial = row.dial;
-        server.cell = row.cell;
-        server.started = row.started;
-        server.active = row.standing == Standing::Active;
-        if row.standing == Standing::Gone && !std::mem::replace(&mut server.gone, true) {
+        let (started, standing) = (row.started, row.standing);
+        if standing == Standing::Gone && !server.stands(Standing::Gone) {
             self.gone.push(node);
         }
-        server.gone = row.standing == Standing::Gone;
+        let before = server.row.as_ref();
+        let moved = before.is_some_and(|b| b.dial.is_some() && b.dial != row.dial);
+        let replaced = started > before.map_or(0.0, |b| b.started);
+        server.row = Some(row);
         for id in server.links.clone() {
             let link = &mut self.links[id];
-            if replaced && link.began < row.started {
+            if replaced && link.began < started {
                 self.end(now, id, Ending::Replaced, alarms);
                 continue;
             }
-            link.retired |= moved || row.standing == Standing::Gone;
+            link.retired |= moved || standing == Standing::Gone;
             // What still waits here may be written long after the node was not to get anything new.
-            if link.retired || row.standing != Standing::Active {
+            if link.retired || standing != Standing::Active {
                 let (unsent, carried) = link.carried.drain(..).partition(|o| o.to.is_none());
                 link.carried = carried;
                 let unsent: VecDeque<Out> = unsent;
@@ -205,17 +208,11 @@
     /// A whole list is coming: what it does not name has gone.
     pub fn listed_anew(&mut self, now: f64, named: &HashSet<NodeId>, alarms: &mut Alarms) {
         for node in 0..self.servers.len() {
-            let Server { host, dial, cell, started, gone, .. } = &self.servers[node];
-            if *gone || host.is_empty() || named.contains(&node) {
-                continue;
+            let row = self.servers[node].row.as_ref().filter(|row| row.standing != Standing::Gone);
+            if let Some(row) = row.filter(|_| !named.contains(&node)) {
+                let row = Listing { standing: Standing::Gone, ..row.clone() };
+                self.listed(now, node, row, alarms);
             }
-            let (host, standing) = (host.clone(), Standing::Gone);
-            self.listed(
-                now,
-                node,
-                Listing { host, dial: *dial, cell: *cell, started: *started, standing },
-                alarms,
-            );
         }
     }
 
@@ -223,24 +220,25 @@
     /// all day, whoever kept them would grow for ever.
     pub fn forgotten(&mut self) -> Option<(NodeId, String)> {
         let servers = &self.servers;
-        self.gone.retain(|node| servers[*node].gone);
+        self.gone.retain(|node| servers[*node].stands(Standing::Gone));
         let idle = |node: &NodeId| servers[*node].links.is_empty() && servers[*node].batch.is_empty();
         let at = self.gone.iter().position(idle)?;
         let node = self.gone.swap_remove(at);
-        Some((node, std::mem::take(&mut self.servers[node]).host))
+        let row = std::mem::take(&mut self.servers[node]).row?;
+        Some((node, row.host))
     }
 
     pub fn any_active(&self) -> bool {
-        self.servers.iter().any(|s| s.active)
+        self.servers.iter().any(|s| s.stands(Standing::Active))
     }
 
     pub fn holds(&self, node: NodeId, seg: usize, cells: usize, holders: usize) -> bool {
-        let cell = self.servers.get(node).map(|s| s.cell % cells);
+        let cell = self.servers.get(node).and_then(|s| s.row.as_ref()).map(|row| row.cell % cells);
         (0..holders).any(|j| cell == Some((seg + j) % cells))
     }
 
     pub fn name(&self, node: NodeId) -> &str {
-        self.servers.get(node).map_or("?", |s| &s.host)
+        self.servers.get(node).map_or("?", Server::name)
     }
 
     pub fn dispatch(&mut self, node: NodeId, parcel: Parcel) {
@@ -287,7 +285,7 @@
     }
 
     fn connect(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) -> Result<usize, Ending> {
-        let dial = self.servers[node].dial.ok_or(Ending::NoMeans)?;
+        let dial = self.servers[node].row.as_ref().and_then(|row| row.dial).ok_or(Ending::NoMeans)?;
         if self.links.len() >= self.most_links {
             // Room is made at the cost of the connection that has been idle the longest.
             let idle = self.idle.first_key_value().map(|(_, id)| *id).ok_or(Ending::NoMeans)?;
@@ -381,44 +379,39 @@
     fn frames(&mut self, now: f64, id: usize) -> Option<Ending> {
         loop {
             let link = &mut self.links[id];
-            let host = &self.servers[link.node].host;
+            let host = self.servers[link.node].name();
             let held = link.input.as_ref()?.held();
-            let told = match frames::read(held) {
+            let spoilt = |why: &str| {
+                warn!("node {host}: {why}: {}", held[..held.len().min(SHOWN)].escape_ascii());
+                Some(Ending::Garbled)
+            };
+            let (used, told) = match frames::read(held) {
                 Ok(None) => return None,
+                Err(why) => return spoilt(why),
                 Ok(Some((Said::Complaint(words), _))) => {
                     warn!("node {host}: {}", words.escape_debug());
                     return Some(Ending::Complaint);
                 }
                 Ok(Some((Said::Ended { id, word, value }, used))) => {
+                    let at = link.carried.iter().position(|o| *o.parcel.id == *id);
+                    // Given up, or answered before: its end has been told. Any other may belong to any part here.
+                    if at.is_none() && !link.past.iter().any(|past| **past == *id) {
+                        return spoilt("an E for a part that is not out");
+                    }
                     let (end, value) = match word {
                         Word::Hit => (End::Completed, Some(value.to_string())),
                         Word::Fault => (End::Error, None),
                         Word::Overload => (End::Full, None),
                     };
-                    match link.carried.iter().position(|o| *o.parcel.id == *id) {
-                        // Given up, or answered before: its end has been told.
-                        None if link.past.iter().any(|past| **past == *id) => Ok((used, None)),
-                        // It may belong to any part that waits here.
-                        None => Err("an E for a part that is not out"),
-                        at => Ok((used, at.map(|at| (at, end, value)))),
-                    }
+                    (used, at.map(|at| (at, end, value)))
                 }
-                Err(why) => Err(why),
             };
-            match told {
-                Ok((used, told)) => {
-                    if let Some((at, end, value)) = told
-                        && let Some(out) = link.take(at)
-                    {
-                        self.back.push_back(out.back(link.node, end, now, value));
-                    }
-                    link.input.as_mut()?.consume(used);
-                }
-                Err(why) => {
-                    warn!("node {host}: {why}: {}", held[..held.len().min(SHOWN)].escape_ascii());
-                    return Some(Ending::Garbled);
-                }
+            if let Some((at, end, value)) = told
+                && let Some(out) = link.take(at)
+            {
+                self.back.push_back(out.back(link.node, end, now, value));
             }
+            link.input.as_mut()?.consume(used);
         }
     }
 
@@ -509,8 +502,8 @@
         let server = &mut self.servers[link.node];
         server.links.retain(|l| *l != id);
         match link.carried.len() {
-            0 => debug!("node {}: connection {ending}", server.host),
-            out => info!("node {}: connection {ending} with {out} parts out", server.host),
+            0 => debug!("node {}: connection {ending}", server.name()),
+            out => info!("node {}: connection {ending} with {out} parts out", server.name()),
         }
         for out in link.carried {
             let end = ending.end(out.to.is_some_and(|to| to <= link.out.written()));
@@ -520,6 +513,7 @@
 }
 
 /// A line of the list, as far as connections go by it.
+#[derive(Clone)]
 pub struct Listing {
     pub host: String,
     pub dial: Option<SocketAddr>,
