Take shares as parts of their own sum: scans of many parts were all turned away

A scan followed by its id, with the sum of its shares as a probe:

Shares come rounded to six digits, 56 of them sum to 0.999992, and a scan was whole only from 1 - 1e-6: tally (decide.rs, need and the least weight) found that it could never be served, and gave it up before any part went out. Ruled out: the limit on scans held (it was taken), the wait ahead (nothing was out, other table types went), the list (all 189 nodes known). Ten parts stay inside the margin, which is why smaller fleets never showed it; doors take shares that are off by 0.002 each, so the two disagreed.

Change: enter divides each share by the sum of all. The story of 56 shares of 0.017857 fails without it.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -507,7 +507,10 @@
     }
 
     fn enter(&mut self, host: &mut dyn Host, mut held: Held, parts: Vec<Part>) {
-        let piece = |p: Part| Piece { seg: p.seg, weight: p.weight, done: false, left: false, shots: vec![] };
+        // Shares come rounded: of many parts all that there is may sum to less than whole, and nobody could serve it.
+        let all = parts.iter().map(|p| p.weight).sum::<f64>().max(f64::MIN_POSITIVE);
+        let piece =
+            |p: Part| Piece { seg: p.seg, weight: p.weight / all, done: false, left: false, shots: vec![] };
         held.pieces.extend(parts.into_iter().map(piece));
         let id = held.id;
         self.scans.insert(id, held);
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -159,6 +159,12 @@
         self.enter(Scan { customer, expires_in: left, resent, ..self.plain(table_type, segs) })
     }
 
+    /// A scan of so many parts, each said to be this share.
+    pub fn rounded(&mut self, table_type: usize, count: usize, weight: f64) -> ScanId {
+        let parts = (0..count).map(|seg| Part { seg: seg % 6, weight }).collect();
+        self.enter(Scan { parts, ..self.plain(table_type, &[]) })
+    }
+
     /// A scan whose frames take their time.
     pub fn long(&mut self, table_type: usize, segs: &[usize]) -> ScanId {
         self.carrying(table_type, segs, true, true)
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -65,6 +65,22 @@
     assert_eq!(town.finals(scan), [WHOLE, WHOLE]);
 }
 
+/// 56 shares of 0.017857 sum to 0.999992: all of them are the whole answer, and one less is not.
+#[rstest]
+#[case::down(56, 0.017857)]
+#[case::up(7, 0.142858)]
+fn a_scan_whose_shares_are_rounded_is_whole_with_all_of_them(#[case] count: usize, #[case] share: f64) {
+    let mut town = Town::new(site());
+    town.host.nodes = vec![None; 6];
+    let scan = town.rounded(FULL, count, share);
+    assert_eq!(town.sent(scan).len(), count);
+    for part in 0..count {
+        assert_eq!(town.finals(scan), []);
+        town.end(scan, part, End::Completed);
+    }
+    assert_eq!(town.finals(scan), [WHOLE]);
+}
+
 #[rstest]
 #[case::allowed(true, 1)]
 #[case::forbidden(false, 0)]
