Keep a refusal as full as a sample: seldom met, the fullest nodes were asked most

Ruled out: too little capacity (median latency of nodes 0.08 s while a tenth were over 0.3 s), lists (all brokers had them), cold rule alone.

Change: the refusal is kept as a sample that took what nearly all take.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -1026,11 +1026,14 @@
                     }
                 }
             }
-            // It answers at once and so looks idle; asked again at once it would eat the part's dispatches.
+            // It answers at once and so looks idle; asked again at once it would eat the part's dispatches. Who
+            // meets it seldom comes back when that is long over: that its queue is full is kept as a sample.
             End::Full => {
-                node.refused = self.now;
-                node.heard = self.now;
-                return;
+                (node.refused, node.heard) = (now, now);
+                let (table_type, sent) = (out.table_type, out.at);
+                let full =
+                    Sample { table_type, sent, took: nearly_all, at: now, served: false, fault: false };
+                return keep_last(&mut node.samples, full, NODE_SAMPLES);
             }
             End::NotSent => return,
             // Broken at once on a connection that lay idle: that is no fault of the node, which has not even
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -81,6 +81,23 @@
     assert_eq!(town.finals(scan), [WHOLE]);
 }
 
+/// Brokers that meet a node once in a second come back long after the usual time for which it is left alone.
+/// It has answered at once and holds nothing of ours: without a memory of it, it is the lightest of all.
+#[test]
+fn a_node_that_turns_parts_away_as_full_is_met_less_often_by_a_broker_that_meets_it_seldom() {
+    let mut town = Town::new(site());
+    town.host.nodes[0] = Some((End::Full, 0.001));
+    town.host.nodes[5] = Some((End::Completed, 0.9));
+    for _ in 0..60 {
+        town.scan(FULL, &[0]);
+        town.run(0.5);
+        town.scan(FULL, &[3]);
+        town.run(0.5);
+    }
+    let tried = town.to_node(0, 0.0);
+    assert!((1..10).contains(&tried), "{tried}");
+}
+
 #[rstest]
 #[case::allowed(true, 1)]
 #[case::forbidden(false, 0)]
