--- a/crates/dunepond-decide/tests/fleet.rs
+++ b/crates/dunepond-decide/tests/fleet.rs
@@ -18,17 +18,16 @@
     Silent,
 }
 
-/// The nodes that all brokers share: what each was sent and when, by whom.
+/// The nodes that all brokers share: what each was sent and when.
 struct Nodes {
     natures: Vec<Nature>,
     started: Vec<f64>,
     /// When each of a node's two workers is through with what it has.
     busy: Vec<[f64; 2]>,
-    sent: Vec<(f64, usize, usize)>,
+    sent: Vec<(f64, NodeId)>,
 }
 
 struct Desk {
-    broker: usize,
     now: f64,
     nodes: Rc<RefCell<Nodes>>,
     due: Vec<(f64, Ended)>,
@@ -47,7 +46,7 @@
         let shot = self.shots.iter().filter(|s| (s.0, s.1) == (scan, part)).count();
         self.shots.push((scan, part, node, self.now));
         let mut nodes = self.nodes.borrow_mut();
-        nodes.sent.push((self.now, self.broker, node));
+        nodes.sent.push((self.now, node));
         if nodes.natures[node] == Nature::Sound {
             let warmth = (0.2 + 0.8 * (self.now - nodes.started[node]) / 15.0).min(1.0);
             let busy = &mut nodes.busy[node];
@@ -131,11 +130,9 @@
             sent: Vec::new(),
         }));
         let one = |id: usize| {
-            let nodes_of = shared.clone();
             let desk = Desk {
-                broker: id,
                 now: 100.0,
-                nodes: nodes_of,
+                nodes: shared.clone(),
                 due: Vec::new(),
                 shots: Vec::new(),
                 finals: Vec::new(),
@@ -216,7 +213,7 @@
     /// node does a hundred parts a second (two at a time, 0.02 s each), one that just started a fifth of it.
     fn fullest_second(&self, node: NodeId, started: f64) -> f64 {
         let nodes = self.nodes.borrow();
-        let at: Vec<f64> = nodes.sent.iter().filter(|s| s.2 == node && s.0 >= started).map(|s| s.0).collect();
+        let at: Vec<f64> = nodes.sent.iter().filter(|s| s.1 == node && s.0 >= started).map(|s| s.0).collect();
         let share = |t: &f64| {
             let most = 2.5 * 100.0 * (0.2 + 0.8 * (t - started) / 15.0);
             at.iter().filter(|u| (*t..t + 1.0).contains(*u)).count() as f64 / most
@@ -262,7 +259,7 @@
     fleet.run(8.0, 60.0, 4);
     let late = fleet.now - 4.0;
     let nodes = fleet.nodes.borrow();
-    let silent = nodes.sent.iter().filter(|s| s.0 >= late && s.2 % 3 == 0).count();
+    let silent = nodes.sent.iter().filter(|s| s.0 >= late && s.1 % 3 == 0).count();
     let all = nodes.sent.iter().filter(|s| s.0 >= late).count();
     drop(nodes);
     assert!(silent * 7 < all, "{silent} of {all}");
