Await probed holders three times as long; a second step is not turned away by its probes

The wait for probes was the usual time at ease, 0.06 to 0.1 s; a deep probe waits in the node's queue, so the first answer is the shortest queue, but only if it is awaited.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -733,7 +733,7 @@
             held.asked = Some(f64::MIN);
             // Too few of its holders are free at this moment; sent all the same it would be late, and the
             // next ones too.
-            if held.weight(|p| !p.shots.is_empty()) < FREE * self.need(held) {
+            if !held.second && held.weight(|p| !p.shots.is_empty()) < FREE * self.need(held) {
                 return self.give_up(host, held);
             }
         }
@@ -770,7 +770,7 @@
 
     /// Its parts wait for the first of their holders that answers a probe.
     fn asking(&self, held: &Held) -> bool {
-        held.asked.is_some_and(|at| self.now - at < self.ease)
+        held.asked.is_some_and(|at| self.now - at < 3.0 * self.ease)
     }
 
     fn dispatch(&mut self, host: &mut dyn Host, held: &mut Held, part: usize, node: NodeId) {
