Give a partial answer before the target time; a lost answer's holder may be asked again

And place left out every holder already tried: with two holders, a part whose answer was lost at both was never sent again. Now only one that is full, still has it, or fails the table type is left out.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -640,9 +640,12 @@
 
     /// The last wake that surely comes before its client's time is up, or before it is worth nothing.
     fn last_call(&self, held: &Held) -> f64 {
-        let worthless = self.site.table_types[held.table_type].late <= 0.0;
-        let end = held.ends_at - 7.0 * self.site.tick;
-        if worthless { end.min(held.target_at) } else { end }
+        let kind = &self.site.table_types[held.table_type];
+        let margin = 7.0 * self.site.tick;
+        let end = held.ends_at - margin;
+        // What can be given in part has to be with its client by the target time to earn anything.
+        let target = if kind.least < kind.whole_at { held.target_at - margin } else { held.target_at };
+        if kind.late <= 0.0 { end.min(target) } else { end }
     }
 
     fn in_time(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
@@ -810,21 +813,25 @@
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
         let (mut fit, mut trials, mut doubtful) = (Vec::new(), Vec::new(), Vec::new());
         for (id, node) in self.holders(piece.seg) {
-            if piece.shots.iter().any(|s| s.node == id)
+            let fails = node.fails(held.table_type, self.since(FRESH));
+            // A holder that lost one answer may well give the next; one that is full, or fails all such, will not.
+            let spent =
+                |s: &Shot| s.node == id && (fails || !matches!(s.end, Some(End::Dropped | End::Error)));
+            if piece.shots.iter().any(spent)
                 || node.replied < since
                 || !self.has_cold_room(node)
                 || self.full(node)
             {
                 continue;
             }
-            let fails = node.fails(held.table_type, self.since(FRESH));
+            let anew = piece.shots.iter().all(|s| s.node != id);
             match &node.aside {
                 None if fails && !replayable => {}
-                None if !fails && (replayable || node.silent(self.now) < self.nearly_all) => fit.push(id),
+                None if anew && !fails && (replayable || node.silent(self.now) < self.nearly_all) => fit.push(id),
                 None => doubtful.push(id),
                 // What cannot be asked again waits for a holder in service; unsent it can be turned away.
                 Some(_) if !replayable => {}
-                Some(aside) if self.trial(node, aside) => trials.push(id),
+                Some(aside) if anew && self.trial(node, aside) => trials.push(id),
                 Some(_) => doubtful.push(id),
             }
         }
