--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -566,7 +566,7 @@
         let mut weight = 0.0;
         let enough = waits.iter().find(|w| {
             weight += w.1;
-            weight >= self.need(held)
+            weight >= self.least(held)
         });
         enough.map_or(0.0, |w| w.0)
     }
@@ -691,8 +691,7 @@
             held.step_from = held.pieces.len();
             return Pass::Keep;
         }
-        let least = if kind.least < kind.whole_at { kind.least - 1e-6 } else { need };
-        if held.weight(|p| p.done || p.out().next().is_some() || self.may_go(held, p)) < least {
+        if held.weight(|p| p.done || p.out().next().is_some() || self.may_go(held, p)) < self.least(held) {
             return self.give_up(host, held);
         }
         Pass::On
@@ -703,6 +702,11 @@
         if held.second { 1.0 - 1e-6 } else { self.site.table_types[held.table_type].whole_at - 1e-6 }
     }
 
+    /// The weight of parts under which nothing can be answered.
+    fn least(&self, held: &Held) -> f64 {
+        self.need(held).min(self.site.table_types[held.table_type].least - 1e-6)
+    }
+
     /// Another dispatch of this part breaks no rule of its table type.
     fn may_go(&self, held: &Held, piece: &Piece) -> bool {
         let ran = |s: &&Shot| !never_ran(s.end);
