Copy for lateness only where dispatches take near what is usual at ease

Now none goes out while the median is over 1.75 times its least; nodes set aside are copied as before.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -42,8 +42,12 @@
 /// Wait, as a share of the target time, from which scans are turned away, and at which all are.
 const PRESSED: f64 = 0.25;
 const CRUSHED: f64 = 0.65;
+/// Beyond this multiple of what is usual at ease there is no room for copies of what is merely late.
+const CROWDED: f64 = 1.75;
 /// Nearly all dispatches take longer than this multiple of what is usual at ease: holders differ.
 const DOUBT: f64 = 4.0;
+/// What is probed is awaited for so many usual times at ease: the shorter queue answers first.
+const ASKED: f64 = 3.0;
 /// The share of the needed parts for which a probed holder must answer in time.
 const FREE: f64 = 0.75;
 /// Ticks within which what waits for nothing at the node comes back.
@@ -777,7 +781,7 @@
 
     /// Its parts wait for the first of their holders that answers a probe.
     fn asking(&self, held: &Held) -> bool {
-        held.asked.is_some_and(|at| self.now - at < 3.0 * self.ease)
+        held.asked.is_some_and(|at| self.now - at < ASKED * self.ease)
     }
 
     fn dispatch(&mut self, host: &mut dyn Host, held: &mut Held, part: usize, node: NodeId) {
@@ -831,7 +835,9 @@
             let anew = piece.shots.iter().all(|s| s.node != id);
             match &node.aside {
                 None if fails && !replayable => {}
-                None if anew && !fails && (replayable || node.silent(self.now) < self.nearly_all) => fit.push(id),
+                None if anew && !fails && (replayable || node.silent(self.now) < self.nearly_all) => {
+                    fit.push(id)
+                }
                 None => doubtful.push(id),
                 // What cannot be asked again waits for a holder in service; unsent it can be turned away.
                 Some(_) if !replayable => {}
@@ -916,7 +922,9 @@
         let (need, target) = (self.need(held), kind.target);
         let overdue = (1.25 * self.nearly_all.min(3.0 * self.median)).max(0.4 * target);
         let replayable = kind.repeat == Repeat::Replayable;
-        let hope = |b: &Broker, s: &Shot| b.now - s.at <= overdue && !b.aside(s.node);
+        // Where all of them take longer, a copy of what is late would only make more late.
+        let crowded = self.median > CROWDED * self.ease;
+        let hope = |b: &Broker, s: &Shot| (crowded || b.now - s.at <= overdue) && !b.aside(s.node);
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| hope(b, s));
         let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
         // What could not go now is tried again, the more seldom the longer it has waited.
