--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -859,20 +859,22 @@
                 let first = self.rng.random_range(0..n);
                 let second = (first + self.rng.random_range(1..n)) % n;
                 let (a, b) = (among[first], among[second]);
-                Some(if self.load(b, held.table_type) < self.load(a, held.table_type) { b } else { a })
+                let all = self.holders(piece.seg).count();
+                let load = |id| self.load(id, held.table_type, all);
+                Some(if load(b) < load(a) { b } else { a })
             }
         }
     }
 
     /// What a node holds of ours, weighed by how much longer than the fleet its last parts took. A node that
     /// has mended is found out once the others hold as many times more.
-    fn load(&self, id: NodeId, table_type: usize) -> f64 {
+    fn load(&self, id: NodeId, table_type: usize, holders: usize) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
         let fault = |s: &Sample| if s.table_type == table_type { self.nearly_all } else { self.median };
         let slower = (self.usual(node, FRESH, fault) / self.median).max(1.0);
         // Where holders are fewer than zones, many segments have none near: hardly a part would be kept from
         // crossing, and ties would lose their choice for nothing.
-        let near = node.zone == self.site.zone || self.site.holders < self.zones.len();
+        let near = node.zone == self.site.zone || holders < self.zones.len();
         let far = if near { 1.0 } else { FAR };
         far * (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -50,6 +50,19 @@
     assert!(expected.contains(&near), "{near}");
 }
 
+/// In sets a segment is held by all nodes of one cell: how many there are is a matter of the list.
+#[test]
+fn the_near_one_of_a_set_is_taken() {
+    let mut town = Town::new(Deployment { holders: 1, cells: 2, ..site() });
+    let one = |town: &mut Town| {
+        let scan = town.scan(FULL, &[0]);
+        town.run(1.0);
+        town.sent(scan)[0].node
+    };
+    let near = (0..90).filter(|_| one(&mut town) == 0).count();
+    assert!((45..75).contains(&near), "{near}");
+}
+
 #[test]
 fn a_second_step_is_asked_for_and_all_of_it_awaited() {
     let mut town = Town::new(site());
