--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -43,19 +43,21 @@
 const PRESSED: f64 = 0.25;
 const CRUSHED: f64 = 0.65;
 /// Beyond this multiple of what is usual at ease there is no room for copies of what is merely late.
-const CROWDED: f64 = 1.75;
+const CROWDED: f64 = 1.5;
 /// Nearly all dispatches take longer than this multiple of what is usual at ease: holders differ.
-const DOUBT: f64 = 4.0;
+const DOUBT: f64 = 2.5;
 /// What is probed is awaited for so many usual times at ease: the shorter queue answers first.
-const ASKED: f64 = 3.0;
+const ASKED: f64 = 6.0;
 /// The share of the needed parts for which a probed holder must answer in time.
 const FREE: f64 = 0.75;
 /// Ticks within which what waits for nothing at the node comes back.
 const PROMPT: f64 = 4.0;
 /// Ticks by which a wake may be late before we take it that we stood still.
 const STOOD_STILL: f64 = 10.0;
-/// What a node in another zone weighs more: of two that hold as much of ours, the near one costs less.
-const FAR: f64 = 1.1;
+/// What a node in another zone weighs more, for the price of crossing or where none is stated: of two that
+/// hold as much of ours, the near one costs less.
+const FAR_A_PRICE: f64 = 7.5;
+const FAR: f64 = 0.1;
 /// A second step waits again, mostly for lighter parts.
 const TWO_STEPS: f64 = 1.5;
 
@@ -875,7 +877,7 @@
         // Where holders are fewer than zones, many segments have none near: hardly a part would be kept from
         // crossing, and ties would lose their choice for nothing.
         let near = node.zone == self.site.zone || holders < self.zones.len();
-        let far = if near { 1.0 } else { FAR };
+        let far = if near { 1.0 } else { 1.0 + self.site.crossing.map_or(FAR, |price| FAR_A_PRICE * price) };
         far * (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
     }
 
--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -102,6 +102,8 @@
     pub benefit_by_work: bool,
     pub cells: usize,
     pub holders: usize,
+    /// What it costs if all parts cross zones, as a share of all benefit; `None` where that is not stated.
+    pub crossing: Option<f64>,
     pub dispatch_cap: usize,
     pub second_copies: bool,
     pub may_cancel: bool,
--- a/crates/dunepond-decide/tests/fake/mod.rs
+++ b/crates/dunepond-decide/tests/fake/mod.rs
@@ -113,6 +113,7 @@
         benefit_by_work: false,
         cells: 6,
         holders: 3,
+        crossing: None,
         dispatch_cap: 4,
         second_copies: true,
         may_cancel: true,
--- a/crates/dunepond-decide/tests/fleet.rs
+++ b/crates/dunepond-decide/tests/fleet.rs
@@ -110,6 +110,7 @@
         benefit_by_work: false,
         cells: nodes,
         holders: 3,
+        crossing: None,
         dispatch_cap: 4,
         second_copies: true,
         may_cancel: true,
--- a/crates/dunepond-settings/src/lib.rs
+++ b/crates/dunepond-settings/src/lib.rs
@@ -168,6 +168,7 @@
         benefit_by_work: settings.text("countedBy")? == "work",
         cells: settings.some("familyInfo.cells")?,
         holders: settings.count("familyInfo.span")? as usize,
+        crossing: settings.maybe("penalties.crossZone", "a number", Value::as_f64)?,
         dispatch_cap: settings.count("ceilings.attemptsCap")? as usize,
         second_copies: settings.mark("ceilings.secondCopies")?,
         may_cancel: settings.mark("ceilings.cancel")?,
