Scans that missed their target lately raise the pressure at admission

What stands out where brokers meet holders seldom is that the admitted come late. Folded: one last call for all types that are worth nothing late.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -44,6 +44,9 @@
 const CRUSHED: f64 = 0.65;
 /// Beyond this multiple of what is usual at ease there is no room for copies of what is merely late.
 const CROWDED: f64 = 1.5;
+/// How far scans that missed their target raise the wait towards crushed; so few of them say little.
+const MISSED: f64 = 0.5;
+const FEW: f64 = 4.0;
 /// Nearly all dispatches take longer than this multiple of what is usual at ease: holders differ.
 const DOUBT: f64 = 2.5;
 /// What is probed is awaited for so many usual times at ease: the shorter queue answers first.
@@ -106,6 +109,8 @@
     /// What dispatches take at the median and nearly all of them, worked out once: a burst asks often.
     median: f64,
     nearly_all: f64,
+    /// When the last scans that had parts sent ended, and whether past their target time.
+    missed: VecDeque<(f64, bool)>,
     /// The least that the median has been: what dispatches take at ease.
     ease: f64,
     longest_target: f64,
@@ -205,6 +210,7 @@
             median: 0.0,
             nearly_all: 0.0,
             seen: 0.0,
+            missed: VecDeque::new(),
             owes: f64::MIN,
             ease: f64::MAX,
             longest_target: site.table_types.iter().map(|t| t.target).fold(0.0, f64::max),
@@ -537,6 +543,10 @@
     }
 
     fn close(&mut self, host: &mut dyn Host, held: &Held) {
+        if held.pieces.iter().any(|p| !p.shots.is_empty()) {
+            let past = self.now > held.target_at - self.site.tick;
+            keep_last(&mut self.missed, (self.now, past), 2 * NODE_SAMPLES);
+        }
         for (part, piece) in held.pieces.iter().enumerate() {
             piece.cancel(host, &self.site, held.id, part);
         }
@@ -612,7 +622,7 @@
         keep_last(&mut self.density, density, FLEET_SAMPLES);
         let below = |d: &f64| 0.5 * (f64::from(*d < density) + f64::from(*d <= density));
         let rank = self.density.iter().map(below).sum::<f64>() / self.density.len() as f64;
-        let level = (ahead / horizon - PRESSED) / (CRUSHED - PRESSED);
+        let level = (ahead / horizon - PRESSED) / (CRUSHED - PRESSED) + MISSED * self.missing();
         let chance: f64 = self.rng.random();
         let inside = self.inside_share(held.customer);
         if level > 0.0 && (!inside || held.audit || late || 0.5 * (rank + chance) < level) {
@@ -624,6 +634,14 @@
         Pass::On
     }
 
+    /// The share of our last scans that missed their target: a broker that meets each holder seldom reckons its
+    /// wait from the fleet's median, and what it admits by that comes too late.
+    fn missing(&self) -> f64 {
+        let lately = self.missed.iter().filter(|m| m.0 > self.since(LATELY));
+        let (past, all) = lately.fold((0.0, FEW), |(past, all), m| (past + f64::from(m.1), all + 1.0));
+        past / all
+    }
+
     /// When it will likely be through, where so much is ahead of it.
     fn likely(&self, ahead: f64) -> f64 {
         self.now + ahead + 1.5 * self.ease.min(self.median)
@@ -646,12 +664,9 @@
 
     /// The last wake that surely comes before its client's time is up, or before it is worth nothing.
     fn last_call(&self, held: &Held) -> f64 {
-        let kind = &self.site.table_types[held.table_type];
-        let margin = 7.0 * self.site.tick;
-        let end = held.ends_at - margin;
-        // What can be given in part has to be with its client by the target time to earn anything.
-        let target = if kind.least < kind.whole_at { held.target_at - margin } else { held.target_at };
-        if kind.late <= 0.0 { end.min(target) } else { end }
+        let worthless = self.site.table_types[held.table_type].late <= 0.0;
+        let end = if worthless { held.ends_at.min(held.target_at) } else { held.ends_at };
+        end - 7.0 * self.site.tick
     }
 
     fn in_time(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
@@ -687,11 +702,9 @@
         if held.step().is_empty() {
             return Pass::Keep;
         }
-        let kind = &self.site.table_types[held.table_type];
-        let need = self.need(held);
-        if held.weight(|p| p.done) >= need {
+        if held.weight(|p| p.done) >= self.need(held) {
             host.answer(held.id, true);
-            if !kind.second_step || held.second {
+            if held.second || !self.site.table_types[held.table_type].second_step {
                 return Pass::End;
             }
             held.step_from = held.pieces.len();
@@ -1066,10 +1079,8 @@
             }
             // What one connection takes with it is one fault, however many parts were out on it.
             End::Dropped | End::NoConnection if again => return,
-            End::Completed | End::Error | End::NoConnection | End::Dropped => {}
-        }
-        if matches!(ended.end, End::Completed | End::Error) {
-            node.heard = self.now;
+            End::Completed | End::Error => node.heard = now,
+            End::NoConnection | End::Dropped => {}
         }
         let warmth = node.warmth(&self.site, self.now);
         let took = took * warmth;
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -907,6 +907,32 @@
     assert!(away(0) >= 16);
 }
 
+/// The wait that is seen is one and the same; that scans admitted by it came late says that it is longer.
+#[rstest]
+#[case::most_came_in_time(false, 0..8)]
+#[case::most_came_late(true, 8..21)]
+fn scans_that_missed_their_target_lately_raise_the_pressure(
+    #[case] late: bool,
+    #[case] away: std::ops::Range<usize>,
+) {
+    let mut town = Town::new(site());
+    let kind = if late { TWO_STEP } else { PATIENT };
+    let first: Vec<_> = (0..12).map(|turn| town.scan_of(kind, &[turn % 6], 0, 30.0, false)).collect();
+    town.run(0.5);
+    // As where beyond its share a customer goes first: the wait is just past where turning away begins.
+    town.host.nodes = vec![Some((End::Completed, 0.75)); 6];
+    (0..80).for_each(|turn| {
+        town.scan_of(PATIENT, &[0], 0, 30.0, false);
+        if turn == 62 {
+            first.iter().for_each(|scan| town.broker.second_step(&mut town.host, *scan, parts(&[0])));
+        }
+        town.run(0.05);
+    });
+    let scans: Vec<_> = (0..20).map(|_| town.scan_of(FULL, &[0], 0, 3.9, false)).collect();
+    let turned = scans.iter().filter(|s| !town.finals(**s).is_empty()).count();
+    assert!(away.contains(&turned), "{turned}");
+}
+
 #[test]
 fn what_its_client_will_not_wait_for_is_not_sent() {
     let mut town = Town::new(site());
