dunepond migrate: a configuration of the old shape gets its counterpart for sets

Shares outside 0 to 1 are refused; ceilings.mayProbe, which sockets do not serve, is said at the start. The module: crowded only where the median is also over a twentieth of the target time by half, as on loopback a few milliseconds more are none.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -519,7 +519,7 @@
     }
 
     fn enter(&mut self, host: &mut dyn Host, mut held: Held, parts: Vec<Part>) {
-        // Shares come rounded: of many parts all that there is may sum to less than whole, and nobody could serve it.
+        // Shares come rounded: all that there is of many parts may sum to less than whole, and nobody could.
         let all = parts.iter().map(|p| p.weight).sum::<f64>().max(f64::MIN_POSITIVE);
         let piece =
             |p: Part| Piece { seg: p.seg, weight: p.weight / all, done: false, left: false, shots: vec![] };
@@ -634,8 +634,8 @@
         Pass::On
     }
 
-    /// The share of our last scans that missed their target: a broker that meets each holder seldom reckons its
-    /// wait from the fleet's median, and what it admits by that comes too late.
+    /// The share of our last scans that missed their target: who meets each holder seldom reckons its wait
+    /// from the fleet's median, and what is admitted by that comes too late.
     fn missing(&self) -> f64 {
         let lately = self.missed.iter().filter(|m| m.0 > self.since(LATELY));
         let (past, all) = lately.fold((0.0, FEW), |(past, all), m| (past + f64::from(m.1), all + 1.0));
@@ -837,7 +837,7 @@
         let (mut fit, mut trials, mut doubtful) = (Vec::new(), Vec::new(), Vec::new());
         for (id, node) in self.holders(piece.seg) {
             let fails = node.fails(held.table_type, self.since(FRESH));
-            // A holder that lost one answer may well give the next; one that is full, or fails all such, will not.
+            // A holder that lost one answer may give the next; one that is full, or fails all such, will not.
             let spent =
                 |s: &Shot| s.node == id && (fails || !matches!(s.end, Some(End::Dropped | End::Error)));
             if piece.shots.iter().any(spent)
@@ -939,8 +939,8 @@
         let (need, target) = (self.need(held), kind.target);
         let overdue = (1.25 * self.nearly_all.min(3.0 * self.median)).max(0.4 * target);
         let replayable = kind.repeat == Repeat::Replayable;
-        // Where all of them take longer, a copy of what is late would only make more late.
-        let crowded = self.median > CROWDED * self.ease;
+        // Where all take longer, and that is no trifle, a copy of what is late would only make more late.
+        let crowded = self.median > CROWDED * self.ease.max(0.05 * target);
         let hope = |b: &Broker, s: &Shot| (crowded || b.now - s.at <= overdue) && !b.aside(s.node);
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| hope(b, s));
         let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
@@ -1062,8 +1062,8 @@
                     }
                 }
             }
-            // It answers at once and so looks idle; asked again at once it would eat the part's dispatches. Who
-            // meets it seldom comes back when that is long over: that its queue is full is kept as a sample.
+            // It answers at once and looks idle; asked again it would eat the part's dispatches. Who meets it
+            // seldom comes back when that is long over: that its queue is full is kept as a sample.
             End::Full => {
                 (node.refused, node.heard) = (now, now);
                 let (table_type, sent) = (out.table_type, out.at);
--- a/crates/dunepond-settings/src/lib.rs
+++ b/crates/dunepond-settings/src/lib.rs
@@ -108,6 +108,12 @@
         self.read(path, "a list of numbers", |v| v.as_array()?.iter().map(Value::as_f64).collect())
     }
 
+    fn shares(&self, path: &str) -> Result<Vec<f64>, Bad> {
+        let shares = self.numbers(path)?;
+        let within = shares.iter().all(|share| (0.0..=1.0).contains(share));
+        if within { Ok(shares) } else { Err(self.bad(path, "a share is not between 0 and 1")) }
+    }
+
     fn seconds(&self, path: &str) -> Result<f64, Bad> {
         let ms = self.number(path)?;
         if ms >= 0.0 { Ok(ms / 1000.0) } else { Err(self.bad(path, "below 0")) }
@@ -116,8 +122,8 @@
 
 /// What the settings state for the module, in seconds and our words.
 pub fn deployment(seed: u64, settings: &Fields) -> Result<Deployment, Bad> {
-    let whole_at = settings.numbers("familyInfo.wholeAt")?;
-    let least = settings.numbers("familyInfo.leastShare")?;
+    let whole_at = settings.shares("familyInfo.wholeAt")?;
+    let least = settings.shares("familyInfo.leastShare")?;
     let second = settings.numbers("familyInfo.secondStep")?;
     let within = format!("{}.services", settings.name);
     let mut table_types = Vec::new();
@@ -168,7 +174,9 @@
         benefit_by_work: settings.text("countedBy")? == "work",
         cells: settings.some("familyInfo.cells")?,
         holders: settings.count("familyInfo.span")? as usize,
-        crossing: settings.maybe("penalties.crossZone", "a number", Value::as_f64)?,
+        crossing: settings.maybe("penalties.crossZone", "a number from 0 up", |v| {
+            v.as_f64().filter(|price| *price >= 0.0)
+        })?,
         dispatch_cap: settings.count("ceilings.attemptsCap")? as usize,
         second_copies: settings.mark("ceilings.secondCopies")?,
         may_cancel: settings.mark("ceilings.cancel")?,
--- a/crates/dunepond/src/config.rs
+++ b/crates/dunepond/src/config.rs
@@ -28,6 +28,8 @@
     pub most_buffers: usize,
     pub most_links: usize,
     pub deployment: Deployment,
+    /// A setting that allows what sockets do not serve, and that the broker does without.
+    pub unserved: Option<&'static str>,
     pub bounds: Bounds,
     /// The list as this broker last held it, in discovery's form.
     pub known: Value,
@@ -58,6 +60,11 @@
     read(|name| Some(name).filter(|name| matches!(*name, "GW_CONFIG" | "GW_LOG")).and_then(&variable))
 }
 
+/// A whole file, as the broker would read it where the environment says nothing.
+pub fn check(file: &Value) -> Result<(), Bad> {
+    start(file, |_| None).map(drop)
+}
+
 fn start(file: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Start, Bad> {
     let config = Fields::of("config", file)?;
     // At the start, what the environment says goes before the file.
@@ -78,7 +85,7 @@
         return Err(settings.bad("familyInfo.secondStep", "second steps are not served on sockets"));
     }
     // The frames have no probe.
-    deployment.may_probe = false;
+    let unserved = std::mem::take(&mut deployment.may_probe).then_some("ceilings.mayProbe");
     let sockets = config.count_or("limits.sockets", SOCKETS)?;
     let memory = config.number_or("limits.memory_mb", MEMORY_MB)?;
     let level = match variable("GW_LOG") {
@@ -106,6 +113,7 @@
         most_buffers,
         most_links,
         deployment,
+        unserved,
         bounds: bounds(&settings)?,
         known: config.maybe("known", "a list of nodes", Some)?.cloned().unwrap_or(Value::Null),
         operator: Operator::default(),
--- a/crates/dunepond/src/lib.rs
+++ b/crates/dunepond/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod keeping;
 mod list;
 pub mod logger;
+pub mod migrate;
 mod questions;
 mod servers;
 mod turn;
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -1,16 +1,16 @@
 //! The command line.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use dunepond::{Hooks, ask, config, keeping, logger, serve};
+use dunepond::{Hooks, ask, config, keeping, logger, migrate, serve};
 use dunepond_settings::Bad;
 use dunepond_settings::operator::Operator;
-use tracing::error;
+use tracing::{error, warn};
 
 /// A query router (broker) before a sharded, replicated store. Without a command it runs.
 #[derive(Parser)]
@@ -42,6 +42,26 @@
         #[arg(value_name = "FILE")]
         file: PathBuf,
     },
+    /// Write the counterpart of a configuration of the old shape (rings, told returns) for the new (sets)
+    Migrate {
+        #[arg(value_name = "OLD")]
+        old: PathBuf,
+        /// Where the new file goes
+        #[arg(long, value_name = "FILE", required_unless_present = "dry_run")]
+        out: Option<PathBuf>,
+        /// How many sets the nodes form, where the old cells do not tell
+        #[arg(long, value_name = "COUNT")]
+        sets: Option<usize>,
+        /// The new deployment allows no second copies
+        #[arg(long)]
+        one_at_a_time: bool,
+        /// Replace a file that is there
+        #[arg(long)]
+        overwrite: bool,
+        /// Print the new file and write nothing
+        #[arg(long)]
+        dry_run: bool,
+    },
     /// Look at a folder that a broker keeps its state in; needs no running broker
     State {
         #[command(subcommand)]
@@ -108,12 +128,30 @@
     }
 }
 
+fn carry_over(old: &Path, out: Option<PathBuf>, ask: &migrate::Ask, dry_run: bool) -> Result<(), Bad> {
+    let new = migrate::read(old, ask)?;
+    if new.same {
+        eprintln!("dunepond: {}: of the new shape already; it stands as it was", old.display());
+    }
+    new.left.iter().for_each(|line| eprintln!("dunepond: {line}"));
+    match out.filter(|_| !dry_run) {
+        Some(out) => migrate::write(&out, &new.text, ask.overwrite),
+        None => {
+            print!("{}", new.text);
+            Ok(())
+        }
+    }
+}
+
 fn run(path: Option<PathBuf>) -> Result<(), Bad> {
     let operator = path.as_deref().map_or(Ok(Operator::default()), config::operator)?;
     let mut start = config::read(|name| std::env::var(name).ok())?;
     start.operator = operator;
     let form = start.operator.log_form.as_deref().and_then(|form| form.parse().ok()).unwrap_or_default();
     logger::start(&start.name, start.level, form);
+    if let Some(key) = start.unserved {
+        warn!("settings: {key}: allowed, and not done on sockets");
+    }
     // From here on the log has what goes wrong.
     serve(start, Hooks { operator: path, ..Hooks::default() }).map_err(|Bad(line)| {
         error!("{line}");
@@ -128,6 +166,9 @@
         Some(Command::Check { file }) => {
             config::operator(&file).map(|_| println!("{}: nothing is wrong with it", file.display()))
         }
+        Some(Command::Migrate { old, out, sets, one_at_a_time, overwrite, dry_run }) => {
+            carry_over(&old, out, &migrate::Ask { sets, one_at_a_time, overwrite }, dry_run)
+        }
         Some(Command::State { command }) => state(command),
         Some(Command::Query { at, index, text, size, shards, seconds, msearch, json }) => {
             let ask = ask::Ask { at, index: &index, json };
