--- a/crates/dunepond/tests/migrate.rs
+++ b/crates/dunepond/tests/migrate.rs
@@ -2,6 +2,8 @@
 
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use dunepond_lab::store::{self, Broker, Client, List, Node, scan};
 use rstest::rstest;
@@ -60,6 +62,12 @@
     config["discovery"] = json!(list.address.to_string());
     let broker = Broker::start(&config);
     let mut client = Client::to(&broker);
+    // It knows no node before discovery has told it.
+    let start = Instant::now();
+    while client.ask("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n").status != 200 {
+        assert!(start.elapsed() < Duration::from_secs(30));
+        thread::sleep(Duration::from_millis(10));
+    }
     for i in 0..20 {
         let answer = client.ask(&scan("find", &format!("c{i}"), &[1, 4], "2.0"));
         assert_eq!(answer.status, 200);
