--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -937,24 +937,25 @@
     fn further(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
         let kind = &self.site.table_types[held.table_type];
         let (need, target) = (self.need(held), kind.target);
-        let overdue = (1.25 * self.nearly_all.min(3.0 * self.median)).max(0.4 * target);
-        let replayable = kind.repeat == Repeat::Replayable;
+        let late = (1.25 * self.nearly_all.min(3.0 * self.median)).max(0.4 * target);
         // Where all take longer, and that is no trifle, a copy of what is late would only make more late.
         let crowded = self.median > CROWDED * self.ease.max(0.05 * target);
-        let hope = |b: &Broker, s: &Shot| (crowded || b.now - s.at <= overdue) && !b.aside(s.node);
-        let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| hope(b, s));
-        let copies = replayable && self.site.second_copies && held.weight(|p| well(self, p)) < need;
+        let late = if crowded { f64::MAX } else { late };
+        // Most nodes that seem silent have a queue: no copy goes before nearly all would have answered.
+        let overdue = |b: &Broker, s: &Shot| s.at + if b.aside(s.node) { b.nearly_all } else { late };
+        let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| b.now < overdue(b, s));
+        let copies = kind.repeat == Repeat::Replayable && self.site.second_copies;
+        let copies = copies && held.weight(|p| well(self, p)) < need;
         // What could not go now is tried again, the more seldom the longer it has waited.
         let later = self.now + (5.0 * self.site.tick).max((self.now - held.came) / 32.0);
         for part in held.step_from..held.pieces.len() {
             let piece = &held.pieces[part];
             let out = piece.out().count();
             if !piece.done && out < 2 {
-                let overdue = piece.out().map(|s| s.at + overdue).find(|at| *at > self.now);
+                let overdue = piece.out().map(|s| overdue(self, s)).find(|at| *at > self.now);
                 held.due = held.due.min(overdue.unwrap_or(later));
             }
-            let due =
-                if out == 0 { !piece.shots.is_empty() } else { out == 1 && copies && !well(self, piece) };
+            let due = out == 0 && !piece.shots.is_empty() || out == 1 && copies && !well(self, piece);
             if !due || !self.may_go(held, piece) || !self.in_budget() {
                 continue;
             }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -596,6 +596,7 @@
             town.scan(FULL, &[4]);
         }
         let scan = town.scan(FULL, &[2]);
+        town.run(0.3);
         assert!(town.sent(scan).iter().any(|s| s.node == 4), "{:?}", town.sent(scan));
     }
 }
@@ -718,6 +719,32 @@
     assert_eq!(town.sent(scan).len(), sends);
 }
 
+/// A queue looks like silence: the copy goes only once nearly all would have answered, and then at once.
+#[rstest]
+fn a_part_at_a_node_set_aside_is_copied_once_nearly_all_would_have_answered(#[values(1, 2, 3)] seed: u64) {
+    let mut town = Town::new(Deployment { seed, ..site() });
+    town.traffic(FULL, 3.0, 0.05);
+    (town.host.nodes[2], town.host.nodes[3]) = (None, None);
+    town.traffic(FULL, 2.0, 0.05);
+    assert!(town.aside(2) && town.aside(3));
+    let mut tried = 0;
+    for _ in 0..20 {
+        town.run(4.0);
+        for _ in 0..6 {
+            town.scan(FULL, &[4]);
+        }
+        let scan = town.scan(FULL, &[2]);
+        if town.sent(scan)[0].node != 4 {
+            tried += 1;
+            town.run(0.15);
+            assert_eq!(town.sent(scan).len(), 1);
+            town.run(0.1);
+            assert_eq!(town.sent(scan).len(), 2);
+        }
+    }
+    assert!(tried > 0);
+}
+
 #[test]
 fn of_two_holders_that_lost_an_answer_each_the_first_is_asked_again() {
     let mut town = Town::new(Deployment { holders: 2, ..site() });
