Let any holder whose dispatch has ended have the part again, refusals as full too

Cause: named by the issue and found again on reading the change: place left out every holder that had turned the part away as full. With two holders both refusals left a part with nowhere to go, while may_go, which tally asks, still counted it, so that its scan was held until just before its query timeout. Now only a holder that still has the part, or fails its table type, is left out; a full one rests a usual time as before, and after the fourth dispatch the scan ends at once. The condition is shorter than before. The holders are counted in the loop that looks at them, not in a second one.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -834,12 +834,12 @@
         let spare = self.in_budget();
         let piece = &held.pieces[part];
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
-        let (mut fit, mut trials, mut doubtful) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut fit, mut trials, mut doubtful, mut all) = (Vec::new(), Vec::new(), Vec::new(), 0);
         for (id, node) in self.holders(piece.seg) {
             let fails = node.fails(held.table_type, self.since(FRESH));
-            // A holder that lost one answer may give the next; one that is full, or fails all such, will not.
-            let spent =
-                |s: &Shot| s.node == id && (fails || !matches!(s.end, Some(End::Dropped | End::Error)));
+            all += 1;
+            // A holder that lost an answer, or was full, may give the next; one that fails all such will not.
+            let spent = |s: &Shot| s.node == id && (fails || s.end.is_none());
             if piece.shots.iter().any(spent)
                 || node.replied < since
                 || !self.has_cold_room(node)
@@ -874,7 +874,6 @@
                 let first = self.rng.random_range(0..n);
                 let second = (first + self.rng.random_range(1..n)) % n;
                 let (a, b) = (among[first], among[second]);
-                let all = self.holders(piece.seg).count();
                 let load = |id| self.load(id, held.table_type, all);
                 Some(if load(b) < load(a) { b } else { a })
             }
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -759,6 +759,19 @@
     assert_ne!(to[0], to[1]);
 }
 
+/// Each is asked again once its refusal is over; with all its dispatches gone the scan is ended at once.
+#[test]
+fn a_part_that_all_holders_turn_away_as_full_goes_again_and_then_ends_its_scan() {
+    let mut town = Town::new(Deployment { holders: 2, ..site() });
+    town.host.nodes = vec![Some((End::Full, 0.002)); 6];
+    let scan = town.scan(FULL, &[0]);
+    town.run(0.2);
+    assert_eq!(town.sent(scan).len(), 2);
+    town.run(1.0);
+    assert_eq!(town.sent(scan).len(), 4);
+    assert!(matches!(town.finals(scan)[..], [Final::Throttle { .. }]));
+}
+
 #[test]
 fn a_node_that_refused_as_full_is_left_alone_for_a_while() {
     let mut town = Town::new(site());
