The pure part of the migration stands with the settings; unknown keys in lists are named

Found on reading the change: what makes the counterpart decides nothing about files or sockets and had its place in the broker's crate; it is handed the broker's check and stands in dunepond-settings now, the files stay in the broker. Whether a file may be replaced was carried in a type that never used it. Unknown keys of services and projects were carried over unsaid, as lists were not looked into, though docs/migration.md says that such keys are listed and left out. They are now, with a story.

--- a/crates/dunepond-settings/src/lib.rs
+++ b/crates/dunepond-settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! Reads a deployment's settings out of JSON: what the module goes by, and the few limits that a host
 //! keeps itself. Every complaint names the key. Both programs share it; nothing here decides.
 
+pub mod migrate;
 pub mod operator;
 mod strict;
 
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -9,6 +9,7 @@
 use clap_complete::Shell;
 use dunepond::{Hooks, ask, config, keeping, logger, migrate, serve};
 use dunepond_settings::Bad;
+use dunepond_settings::migrate::Ask;
 use dunepond_settings::operator::Operator;
 use tracing::{error, warn};
 
@@ -128,14 +129,14 @@
     }
 }
 
-fn carry_over(old: &Path, out: Option<PathBuf>, ask: &migrate::Ask, dry_run: bool) -> Result<(), Bad> {
+fn carry_over(old: &Path, out: Option<&Path>, ask: &Ask, overwrite: bool) -> Result<(), Bad> {
     let new = migrate::read(old, ask)?;
     if new.same {
         eprintln!("dunepond: {}: of the new shape already; it stands as it was", old.display());
     }
     new.left.iter().for_each(|line| eprintln!("dunepond: {line}"));
-    match out.filter(|_| !dry_run) {
-        Some(out) => migrate::write(&out, &new.text, ask.overwrite),
+    match out {
+        Some(out) => migrate::write(out, &new.text, overwrite),
         None => {
             print!("{}", new.text);
             Ok(())
@@ -167,7 +168,8 @@
             config::operator(&file).map(|_| println!("{}: nothing is wrong with it", file.display()))
         }
         Some(Command::Migrate { old, out, sets, one_at_a_time, overwrite, dry_run }) => {
-            carry_over(&old, out, &migrate::Ask { sets, one_at_a_time, overwrite }, dry_run)
+            let out = out.as_deref().filter(|_| !dry_run);
+            carry_over(&old, out, &Ask { sets, one_at_a_time }, overwrite)
         }
         Some(Command::State { command }) => state(command),
         Some(Command::Query { at, index, text, size, shards, seconds, msearch, json }) => {
--- a/crates/dunepond/tests/migrate.rs
+++ b/crates/dunepond/tests/migrate.rs
@@ -115,6 +115,7 @@
     let mut old = old_shape();
     old["colour"] = json!("blue");
     old["settings"]["ceilings"]["maxHeld"] = json!(7);
+    old["settings"]["services"][1]["worth"] = json!(2.5);
     let old = file(&old.to_string());
     let (good, printed, said) = migrate(&[at(&old), "--dry-run"]);
     assert!(good, "{said}");
@@ -122,6 +123,7 @@
         said.contains("colour: not known") && said.contains("settings.ceilings.maxHeld: not known"),
         "{said}"
     );
+    assert!(said.contains("settings.services.worth: not known") && !printed.contains("worth"), "{said}");
     assert!(!printed.contains("blue") && !printed.contains("maxHeld"), "{printed}");
 }
 
