Ask holders again only for replayable parts

With four dispatches for each of six parts one part is spent while another is still out, which may run, so that its scan cannot be throttled; before, refusals were final and all were in when its time ran out.

--- a/crates/dunepond-decide/src/decide.rs
+++ b/crates/dunepond-decide/src/decide.rs
@@ -839,7 +839,8 @@
             let fails = node.fails(held.table_type, self.since(FRESH));
             all += 1;
             // A holder that lost an answer, or was full, may give the next; one that fails all such will not.
-            let spent = |s: &Shot| s.node == id && (fails || s.end.is_none());
+            // What must not run twice would end as unknown, one part's dispatches spent while another is out.
+            let spent = |s: &Shot| s.node == id && (fails || !replayable || s.end.is_none());
             if piece.shots.iter().any(spent)
                 || node.replied < since
                 || !self.has_cold_room(node)
