Discovery: a call has 6 s for its answer, and is not ended for the calls beside it

Seen by a probe over sockets, before any change: with an agent that needs 3.5 s for an answer (nothing at first, half a head, half of the list, each answered whole once seven more calls had come) the call was closed by us before its answer was whole, three times out of three. So no list is ever heard from an agent that needs more than 2 s on each connection. Cause: list.rs `due`, which removed the oldest of four calls (`CALLS`) for one more each 0.5 s (`OVERDUE`), whether it had begun to answer or not.

Ruled out with the same probe, all in time on the old version: a call that ends, is reset, half answered, refused with 503, empty, spoilt or no HTTP at all, four times in a row (under 3 s, so back-off is not at fault); an agent that was down and begins anew with lower versions; one begun anew behind a silent watch; changes of a lower version; the old agent's answer in the turn of the SIGHUP that leaves it (the broker stopped, both laid ready, let go); parts on a connection that is coming up to a node that a whole list leaves out; nothing known at the start.

Now a call is given up 6 s after its answer could have been there, which is when what it would tell counts as told: one that drips for ever ends then, and a silent watch no sooner. That makes twelve calls at most, each a descriptor: a silent agent and 12 calls came to 23 descriptors (measured), of 24 that are set aside, after the listener's second one was let go. The stories of the slow answer fail without the change (3 of 3); the others are new and hold either way.

--- a/crates/dunepond/src/clients/accept.rs
+++ b/crates/dunepond/src/clients/accept.rs
@@ -36,7 +36,8 @@
 impl Clients {
     /// Takes in who comes to one more door.
     pub fn open(&mut self, listener: TcpListener, api: bool) -> calloop::Result<()> {
-        let source = Generic::new(listener.try_clone()?, Interest::READ, Mode::Level);
+        let listener = Rc::new(listener);
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
         let token = self.handle.insert_source(source, move |_, _, turn| {
             turn.ready.push_back(Ready::Accept(api));
             Ok(PostAction::Continue)
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -101,7 +101,7 @@
     most_buffers: usize,
     bounds: Rc<Bounds>,
     /// The doors, and whether each is the API's. What comes to either is bounded together.
-    listeners: Vec<(TcpListener, RegistrationToken, bool)>,
+    listeners: Vec<(Rc<TcpListener>, RegistrationToken, bool)>,
     paused: bool,
     /// What the API's door goes by, where there is one.
     pub api: Option<Rc<Door>>,
--- a/crates/dunepond/src/config.rs
+++ b/crates/dunepond/src/config.rs
@@ -12,7 +12,8 @@
 
 use crate::buffers::SIZE;
 
-/// Descriptors for what is neither a client nor a node: standard streams, loop, signals, list, listener.
+/// Descriptors for what is neither a client nor a node: standard streams, loop, signals and listener take eleven, calls to a
+/// silent discovery twelve at most, and one goes to a client that is taken in before another makes room.
 const OWN_SOCKETS: u64 = 24;
 const MEMORY_MB: f64 = 192.0;
 const SOCKETS: u64 = 1024;
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -19,19 +19,19 @@
 use crate::servers::{self, Listing};
 use crate::turn::{Handle, Ready, watch};
 
-/// How long a watch may wait. What a silent agent does not tell counts as told 6 s after it fell silent, or 2 s after
-/// the wait is over: a short wait leaves room for several calls before that.
-const WATCH_MS: u64 = 1500;
+/// What a silent agent does not tell counts as told so long after it fell silent.
+const TOLD: f64 = 6.0;
+/// How long a watch may wait: a quarter of that, so that several calls can follow a silent one before it is over.
+const WATCH_MS: u64 = (TOLD / 4.0 * 1000.0) as u64;
 /// How long after its time an answer is missed: another call goes out beside the one that is silent, as what is
-/// broken may be that one connection, and is itself missed so soon, as it asks for what can be had at once.
-const OVERDUE: f64 = 0.5;
-/// So many calls are out at most; the oldest makes room, after it had a few times the time of a healthy one.
-const CALLS: usize = 4;
-/// Between two calls at least, far inside of what keeps a watch alive: an agent that answers a watch at
+/// broken may be that one connection, and is itself missed so soon, as it asks for what can be had at once. At this pace
+/// there is one soon after an agent's return too: what it gets then counts at once.
+const OVERDUE: f64 = TOLD / 12.0;
+/// Between two calls at least, far inside of the 0.2 s that keep a watch alive: an agent that answers a watch at
 /// once, whatever it is asked, must not make us ask it in circles.
 const APART: f64 = 0.05;
-/// Before a call to an agent that is down is made again: at first, and at most.
-const AGAIN: (f64, f64) = (0.1, 0.5);
+/// Before a call to an agent that is down is made again: at first, and at most, which is the pace of the silent.
+const AGAIN: (f64, f64) = (0.1, OVERDUE);
 
 /// A list, or what changed in it.
 pub struct News {
@@ -49,6 +49,8 @@
     /// An answer is awaited; to a watch, or to a call for the whole list.
     awaiting: bool,
     watches: bool,
+    /// When its answer could be there.
+    due: f64,
 }
 
 /// What reading a connection on has come to.
@@ -91,7 +93,16 @@
             let stream = Rc::new(servers::open(self.address)?);
             let token = watch(&self.handle, &stream, Ready::Agent).map_err(|_| Ending::NoMeans)?;
             let out = Outflow::new(&self.pool);
-            Ok(Call { stream, token, input: None, message: None, out, awaiting: true, watches: false })
+            Ok(Call {
+                stream,
+                token,
+                input: None,
+                message: None,
+                out,
+                awaiting: true,
+                watches: false,
+                due: now,
+            })
         };
         match open() {
             Ok(call) => {
@@ -118,15 +129,16 @@
     /// and the agent may have begun anew and count its versions from 1.
     fn ask(&mut self, now: f64, at: usize, alarms: &mut Alarms) {
         let from = self.seq.filter(|_| self.calls.len() == 1);
-        let call = &mut self.calls[at];
-        (self.asked, call.awaiting, call.watches) = (now, true, from.is_some());
         let (path, wait) = match from {
             None => ("/v1/endpoints".to_string(), 0),
             Some(seq) => (format!("/v1/endpoints?index={seq}&wait={WATCH_MS}"), WATCH_MS),
         };
+        let call = &mut self.calls[at];
+        (self.asked, call.awaiting, call.watches) = (now, true, from.is_some());
+        call.due = now + wait as f64 / 1000.0;
         call.out.put(&http::get(&path, &self.address.to_string()));
         alarms.unset(self.alarm.take());
-        self.alarm = Some(alarms.set(now + wait as f64 / 1000.0 + OVERDUE, Due::Agent));
+        self.alarm = Some(alarms.set(call.due + OVERDUE, Due::Agent));
         self.write(now, at, alarms);
     }
 
@@ -150,9 +162,14 @@
         match self.calls.first() {
             Some(call) if call.awaiting => {
                 warn!("discovery {}: silent for {:.1} s; called again", self.address, now - self.asked);
-                if self.calls.len() == CALLS {
-                    let oldest = self.calls.remove(0);
+                // Each has all the time in which its answer is of use. Ended sooner to make room, an answer that
+                // is slow to come, or comes in pieces, would never be heard; and one that drips for ever ends here.
+                // To half a pace: whether the twelfth rings a moment early must not decide on a thirteenth.
+                let old = |call: &&Call| now - call.due > TOLD - OVERDUE / 2.0;
+                while let Some(oldest) = self.calls.first().filter(old) {
                     self.handle.remove(oldest.token);
+                    self.calls.remove(0);
+                    self.watch_broken();
                 }
                 self.call(now, alarms);
             }
@@ -172,9 +189,7 @@
     /// out have been silent for long enough.
     fn ended(&mut self, now: f64, ending: Ending, alarms: &mut Alarms) {
         warn!("discovery {}: connection {ending}; the last list holds", self.address);
-        if !self.calls.iter().any(|call| call.watches) {
-            self.seq = None;
-        }
+        self.watch_broken();
         if self.calls.is_empty() || self.alarm.is_none() {
             alarms.unset(self.alarm.take());
             self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
@@ -182,6 +197,13 @@
         }
     }
 
+    /// Without a watch that is out, what comes next is a whole list.
+    fn watch_broken(&mut self) {
+        if !self.calls.iter().any(|call| call.watches) {
+            self.seq = None;
+        }
+    }
+
     pub fn ready(&mut self, now: f64, readable: bool, alarms: &mut Alarms) -> Vec<News> {
         let (mut news, mut at) = (Vec::new(), 0);
         // Which connection it was is not told: they are few, and mostly one.
--- /dev/null
+++ b/crates/dunepond/tests/discovery.rs
@@ -0,0 +1,311 @@
+//! Discovery's calls broken at every moment, and whole lists that leave nodes out.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
+use rstest::rstest;
+use serde_json::{Value, json};
+use socket2::{Domain, SockRef, Socket, Type};
+
+/// A change counts as told 6 s after discovery had it and could be reached, whatever call has failed. Half of that is
+/// left for a machine that is busy with other tests.
+const IN_TIME: Duration = Duration::from_secs(3);
+
+/// Discovery's agent; it says what its story says.
+struct Agent(TcpListener);
+
+/// A connection of the broker's to it.
+struct Call(BufReader<TcpStream>);
+
+impl Agent {
+    fn start() -> Self {
+        Self(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    /// The next connection, with what is asked on it.
+    fn asked(&self) -> (Call, String) {
+        let stream = self.0.accept().unwrap().0;
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let mut call = Call(BufReader::new(stream));
+        let path = call.asked();
+        (call, path)
+    }
+}
+
+impl Call {
+    /// The path of the next question.
+    fn asked(&mut self) -> String {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            assert!(self.0.read_line(&mut head).unwrap() > 0, "closed");
+        }
+        head.split(' ').nth(1).unwrap().to_string()
+    }
+
+    fn say(&mut self, text: &str) {
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+
+    fn answer(&mut self, list: &Value) {
+        self.say(&answer(&list.to_string()));
+    }
+
+    fn reset(self) {
+        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// Waits for the broker to close it.
+    fn wait_closed(&mut self) {
+        match self.0.read(&mut [0]) {
+            Ok(0) => {}
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
+            other => panic!("not closed: {other:?}"),
+        }
+    }
+}
+
+fn answer(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn list(seq: u64, lines: Vec<Value>) -> Value {
+    json!({"seq": seq, "whole": true, "hosts": lines})
+}
+
+fn nodes() -> [Node; 2] {
+    [Node::start("s-0"), Node::start("s-1")]
+}
+
+/// The first node drains, the other one is in service.
+fn drained(seq: u64, nodes: &[Node; 2]) -> Value {
+    list(seq, vec![nodes[0].line("draining"), nodes[1].line("ready")])
+}
+
+/// A broker that begins with the first node alone, and its first call.
+fn calling(nodes: &[Node; 2]) -> (Broker, Agent, Call) {
+    let agent = Agent::start();
+    let broker = Broker::start(&config(agent.address(), vec![nodes[0].line("ready")]));
+    let (call, path) = agent.asked();
+    assert_eq!(path, "/v1/endpoints");
+    (broker, agent, call)
+}
+
+/// A broker whose agent has told it, as this version, that the first node alone is in service, and that watches now.
+fn watching(seq: u64, nodes: &[Node; 2]) -> (Broker, Agent, Call) {
+    let (broker, agent, mut call) = calling(nodes);
+    call.answer(&list(seq, vec![nodes[0].line("ready")]));
+    assert!(call.asked().starts_with(&format!("/v1/endpoints?index={seq}&wait=")));
+    (broker, agent, call)
+}
+
+/// Asks a few scans, all of which go to the second node and none to the first.
+fn only_the_second_serves(broker: &Broker, nodes: &[Node; 2]) {
+    let mut client = Client::to(broker);
+    for i in 0..3 {
+        assert_eq!(client.ask(&scan("find", &format!("c{i}"), &[0, 1], "2.0")).status, 200);
+    }
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 6));
+}
+
+/// On a busy machine an answer may take longer than the next calls take to go out. Each of those would take just as
+/// long: were it ended for them, none would ever be heard.
+#[rstest]
+#[case::late(0)]
+#[case::in_its_head(20)]
+#[case::in_its_list(120)]
+fn an_answer_that_needs_longer_than_the_calls_beside_it_is_heard(#[case] at_first: usize) {
+    let nodes = nodes();
+    let (broker, agent, mut slow) = calling(&nodes);
+    let text = answer(&drained(2, &nodes).to_string());
+    slow.say(&text[..at_first]);
+    let _beside: Vec<_> = (0..7).map(|_| agent.asked()).collect();
+    slow.say(&text[at_first..]);
+    assert!(slow.asked().contains("index=2&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// One that drips for ever keeps no call from going out, and has to make room itself.
+#[test]
+fn answers_that_never_end_make_room_and_calls_go_on() {
+    let nodes = nodes();
+    let (broker, agent, mut call) = calling(&nodes);
+    let mut dripping = Vec::new();
+    call.say("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n");
+    for _ in 0..14 {
+        dripping.push(std::mem::replace(&mut call, agent.asked().0));
+        call.say("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n");
+        dripping.iter_mut().for_each(|call| call.say(" "));
+    }
+    dripping[..2].iter_mut().for_each(Call::wait_closed);
+    let (mut next, _) = agent.asked();
+    next.answer(&drained(2, &nodes));
+    assert!(next.asked().contains("index=2&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// However often the call that follows breaks in the same way, the list is had in time.
+#[rstest]
+#[case::closed("", false)]
+#[case::reset("", true)]
+#[case::half_a_head("HTTP/1.1 200 OK\r\nContent-", false)]
+#[case::half_a_head_and_reset("HTTP/1.1 200 OK\r\nContent-", true)]
+#[case::half_a_list("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"seq\":2,", false)]
+#[case::half_a_list_and_reset("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"seq\":2,", true)]
+#[case::half_a_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{\"seq\":2,", false)]
+#[case::an_error("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::an_empty_answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::spoilt("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"seq\":2;", false)]
+#[case::no_list("HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{\"seq\":2,\"whole\":true}", false)]
+#[case::no_http("what is this\r\n\r\n", false)]
+fn a_call_that_breaks_and_those_after_it_are_made_again_in_time(#[case] said: &str, #[case] reset: bool) {
+    let nodes = nodes();
+    let (broker, agent, mut call) = watching(1, &nodes);
+    let since = Instant::now();
+    for _ in 0..4 {
+        call.say(said);
+        if reset {
+            call.reset();
+        } else {
+            drop(call);
+        }
+        let (next, path) = agent.asked();
+        assert_eq!(path, "/v1/endpoints");
+        call = next;
+    }
+    assert!(since.elapsed() < IN_TIME, "{:?}", since.elapsed());
+    call.answer(&drained(2, &nodes));
+    assert!(call.asked().contains("index=2&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// Nobody listens at its address for a while; its versions begin anew with it.
+#[test]
+fn an_agent_that_was_down_is_heard_in_time_and_from_its_first_version_on() {
+    let nodes = nodes();
+    let (broker, agent, call) = watching(41, &nodes);
+    let address = agent.address();
+    drop((agent, call));
+    while broker.said().matches("refused").count() < 4 {
+        std::thread::yield_now();
+    }
+    let since = Instant::now();
+    let agent = Agent(TcpListener::bind(address).unwrap());
+    let (mut call, path) = agent.asked();
+    assert_eq!(path, "/v1/endpoints");
+    assert!(since.elapsed() < IN_TIME, "{:?}", since.elapsed());
+    call.answer(&drained(1, &nodes));
+    assert!(call.asked().contains("index=1&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// Its old watch stays open and says nothing: a list that is older by its number is the newer one.
+#[test]
+fn an_agent_begun_anew_behind_a_silent_watch_is_heard_with_its_lower_versions() {
+    let nodes = nodes();
+    let (broker, agent, _silent) = watching(41, &nodes);
+    let (mut call, path) = agent.asked();
+    assert_eq!(path, "/v1/endpoints");
+    call.answer(&drained(1, &nodes));
+    assert!(call.asked().contains("index=1&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// It answers as it always did, but has begun anew: changes below what is held follow nothing, whatever they say.
+#[test]
+fn changes_of_a_lower_version_have_the_whole_list_asked_for() {
+    let nodes = nodes();
+    let (broker, agent, mut call) = watching(41, &nodes);
+    call.answer(&json!({"seq": 3, "whole": false, "hosts": []}));
+    let (mut call, path) = agent.asked();
+    assert_eq!(path, "/v1/endpoints");
+    call.answer(&drained(3, &nodes));
+    assert!(call.asked().contains("index=3&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// Both are there when the broker gets to run again: the answer of the agent that it leaves is not the new one's.
+#[test]
+fn an_answer_that_comes_with_the_word_to_leave_its_agent_holds_only_until_the_new_one_speaks() {
+    let nodes = nodes();
+    let (broker, _old, mut call) = watching(41, &nodes);
+    broker.signal("STOP");
+    let stat = format!("/proc/{}/stat", broker.pid());
+    while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+        std::thread::yield_now();
+    }
+    call.answer(&list(42, vec![nodes[0].line("ready"), nodes[1].line("ready")]));
+    let new = Agent::start();
+    broker.reread(&config(new.address(), vec![]));
+    broker.signal("CONT");
+    let (mut at_new, path) = new.asked();
+    assert_eq!(path, "/v1/endpoints");
+    at_new.answer(&drained(1, &nodes));
+    assert!(at_new.asked().contains("index=1&"));
+    call.wait_closed();
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// Nothing answers the attempt to connect, as when a machine has vanished: its queue is full. Gives who fills it, too.
+fn vanished() -> (TcpListener, SocketAddr, Vec<SocketAddr>) {
+    let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    full.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    full.listen(0).unwrap();
+    let address = full.local_addr().unwrap().as_socket().unwrap();
+    let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok();
+    // Those that came up lie in the queue after their end, too.
+    let fill = (0..3).filter_map(connect).map(|stream| stream.local_addr().unwrap()).collect();
+    (full.into(), address, fill)
+}
+
+/// What a whole list does not name has gone, also where its connection is only coming up: what waits for that goes
+/// elsewhere, and nothing is written once it is up.
+#[test]
+fn parts_that_wait_for_a_connection_leave_a_node_that_a_whole_list_does_not_name() {
+    let (full, address, fill) = vanished();
+    let nodes = nodes();
+    let mut late = nodes[0].line("ready");
+    late["dial"] = json!(address.to_string());
+    let list = List::start(vec![late.clone(), nodes[1].line("ready")]);
+    let mut config = config(list.address, vec![late, nodes[1].line("ready")]);
+    config["settings"]["ceilings"]["connectTimeoutMs"] = json!(5000.0);
+    let broker = Broker::start(&config);
+    let mut clients: Vec<_> = (0..6).map(|_| Client::to(&broker)).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&scan("fix", &format!("c{i}"), &[i], "2.5"));
+    }
+    nodes[1].wait_for('A', 1);
+    list.tell(vec![nodes[1].line("ready")]);
+    assert!(clients.iter_mut().all(|client| client.answer().unwrap().status == 200));
+    // There is room in its queue now: the connection comes up with the system's next try, after a second.
+    let mut came =
+        std::iter::repeat_with(|| full.accept().unwrap()).find(|(_, peer)| !fill.contains(peer)).unwrap().0;
+    came.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    assert_eq!(came.read(&mut [0; 100]).unwrap(), 0);
+}
+
+/// Nothing known and nobody to ask: it says so, and is ready with the first list.
+#[rstest]
+#[case::no_list(Value::Null)]
+#[case::no_nodes(json!({"seq": 1, "whole": true, "hosts": []}))]
+fn with_nothing_known_it_is_ready_once_discovery_speaks(#[case] known: Value) {
+    let nodes = nodes();
+    let agent = Agent::start();
+    let mut config = config(agent.address(), vec![]);
+    config["known"] = known;
+    let broker = Broker::start(&config);
+    let _silent = agent.asked();
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status, 503);
+    let since = Instant::now();
+    let (mut call, _) = agent.asked();
+    call.answer(&drained(1, &nodes));
+    call.asked();
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
+    assert!(since.elapsed() < IN_TIME, "{:?}", since.elapsed());
+}
