Discovery: a spoilt line among changes has the whole list asked for

Whatever that line wanted to tell, a drain above all, no watch tells again; so it was never in force until something else broke. Cause: list.rs `read` skips the line and `answer` keeps the version all the same. A whole list with such a line was taken in the same way.

The good lines count as before. After changes with a spoilt line the next call is for the whole list; after a whole list it is asked for once more, and one that is spoilt for good is then lived with and watched.

--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -75,6 +75,8 @@
     alarm: Option<Key>,
     /// The version to watch from; none before a whole list has come, and after each break.
     seq: Option<u64>,
+    /// The last list had a line that would not do.
+    spoilt: bool,
     asked: f64,
     pause: f64,
 }
@@ -83,8 +85,8 @@
     pub fn new(handle: Handle, pool: &Pool, address: SocketAddr, bounds: &Bounds) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (calls, alarm, seq, pause) = (Vec::new(), None, None, AGAIN.0);
-        let (taken, asked) = (Slab::new(), f64::MIN);
-        Self { handle, pool, address, nodes, taken, zones, calls, alarm, seq, asked, pause }
+        let (taken, spoilt, asked) = (Slab::new(), false, f64::MIN);
+        Self { handle, pool, address, nodes, taken, zones, calls, alarm, seq, spoilt, asked, pause }
     }
 
     /// Calls the agent on a new connection: to watch on from where it was, or for the whole list.
@@ -278,11 +280,15 @@
         let keep = message.head.keep;
         let list = dunepond_settings::json(message.text()).map_err(|e| format!("list: {e}"))?;
         call.message = None;
-        let (seq, news) = self.read(&list).map_err(|Bad(why)| why)?;
+        let (seq, news, spoilt) = self.read(&list).map_err(|Bad(why)| why)?;
         if !news.whole && self.seq.is_none_or(|before| seq < before) {
             return Err(format!("changes up to version {seq}, which do not follow what is known"));
         }
-        self.seq = Some(seq);
+        // What a spoilt line wanted to tell no watch tells again: all of it is asked for. A whole list may be spoilt for
+        // good: it is asked for once more, and then lived with.
+        let again = spoilt && !(news.whole && self.spoilt);
+        self.spoilt = spoilt;
+        self.seq = Some(seq).filter(|_| !again);
         Ok(Some((news, keep)))
     }
 
@@ -318,18 +324,21 @@
         }
     }
 
-    /// Reads a list; a line that will not do is named and skipped.
-    pub fn read(&mut self, list: &Value) -> Result<(u64, News), Bad> {
+    /// Reads a list; a line that will not do is named and skipped. Gives the version too, and whether there was such a line.
+    pub fn read(&mut self, list: &Value) -> Result<(u64, News, bool), Bad> {
         let list = Fields::of("list", list)?;
         let (seq, whole) = (list.count("seq")?, list.mark("whole")?);
-        let mut rows = Vec::new();
+        let (mut rows, mut spoilt) = (Vec::new(), false);
         for row in list.list("hosts")? {
             match self.row(row) {
                 Ok(row) => rows.push(row),
-                Err(Bad(why)) => warn!("discovery: a line is skipped: {why}"),
+                Err(Bad(why)) => {
+                    warn!("discovery: a line is skipped: {why}");
+                    spoilt = true;
+                }
             }
         }
-        Ok((seq, News { whole, rows }))
+        Ok((seq, News { whole, rows }, spoilt))
     }
 
     fn row(&mut self, row: &Value) -> Result<(Listed, Listing), Bad> {
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -104,7 +104,7 @@
     let (pool, bounds) = (Pool::default(), Rc::new(start.bounds));
     let mut agent = Agent::new(handle.clone(), &pool, start.discovery, &bounds);
     // A list that cannot be read is none: discovery will bring another.
-    let known = agent.read(&start.known).ok().map(|(_, news)| news);
+    let known = agent.read(&start.known).ok().map(|(_, news, _)| news);
     let listener = clients::listen(start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
     let local = listener.local_addr().map_err(|e| failed("GW_LISTEN", &e))?;
     let clients =
--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -229,6 +229,38 @@
     only_the_second_serves(&broker, &nodes);
 }
 
+/// What a line among changes wanted to tell is told by no watch again.
+#[rstest]
+#[case::word("health", json!("drain"))]
+#[case::type_of("block", json!("0"))]
+#[case::address("dial", json!("here"))]
+fn a_spoilt_line_among_changes_has_the_whole_list_asked_for(#[case] key: &str, #[case] value: Value) {
+    let nodes = nodes();
+    let (broker, _agent, mut call) = watching(1, &nodes);
+    let mut spoilt = nodes[0].line("draining");
+    spoilt[key] = value;
+    call.answer(&json!({"seq": 2, "whole": false, "hosts": [spoilt, nodes[1].line("ready")]}));
+    assert_eq!(call.asked(), "/v1/endpoints");
+    call.answer(&drained(2, &nodes));
+    assert!(call.asked().contains("index=2&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// The whole list may be spoilt for good in that line: it is asked for once more, and then lived with.
+#[test]
+fn a_whole_list_with_a_spoilt_line_is_asked_for_once_more_and_then_watched() {
+    let nodes = nodes();
+    let (broker, _agent, mut call) = calling(&nodes);
+    let mut spoilt = nodes[0].line("ready");
+    spoilt["health"] = json!("asleep");
+    let all = list(5, vec![spoilt, nodes[1].line("ready")]);
+    call.answer(&all);
+    assert_eq!(call.asked(), "/v1/endpoints");
+    call.answer(&all);
+    assert!(call.asked().contains("index=5&"));
+    only_the_second_serves(&broker, &nodes);
+}
+
 /// Both are there when the broker gets to run again: the answer of the agent that it leaves is not the new one's.
 #[test]
 fn an_answer_that_comes_with_the_word_to_leave_its_agent_holds_only_until_the_new_one_speaks() {
