Without descriptors, idle clients make room for calls to discovery and to nodes

Seen by two probes: a broker that may have 40 descriptors (told 1,024), filled by 300 clients that connect and ask nothing, most of them waiting to be taken in. Its watch is closed: the next call to discovery was not made within a second, as the descriptor that came free went to the next idle client, and so did each one after it. And a client taken in before got no answer from a node that nothing was open to yet: the part came back as not sent, and its dispatches were used up.

Cause: list.rs `call` and servers/connect.rs took the lack as the end of that call (`NoMeans`), and nobody made room, although at the cap by count (accept.rs) somebody does. `NoMeans` also stood for an address that is missing. Ruled out: accepting resumes by itself (each 50 ms; the story in stories.rs, unchanged).

The lack has a value of its own now, `NoDescriptor`. Where a call meets it, the client that waits for nothing and would go first at the cap gives up its descriptor, or else an idle connection to a node, and the call is made again in the same turn. It does not lengthen the back-off towards the agent. Both stories fail without the change.

--- a/crates/dunepond/src/clients/accept.rs
+++ b/crates/dunepond/src/clients/accept.rs
@@ -78,6 +78,13 @@
         true
     }
 
+    /// Somebody makes room for connections of our own; false if all are owed an answer.
+    pub fn give_way(&mut self, now: f64, alarms: &mut Alarms) -> bool {
+        let least = self.least(now);
+        least.map(|id| self.end(id, Ending::Unused, alarms));
+        least.is_some()
+    }
+
     /// Who makes room for others: never one that is owed an answer. One that has only just connected is given
     /// its time to ask, as long as such do not take up half of all.
     fn least(&self, now: f64) -> Option<usize> {
--- a/crates/dunepond/src/desk/mod.rs
+++ b/crates/dunepond/src/desk/mod.rs
@@ -143,6 +143,22 @@
         self.bounds.table_types.clone()
     }
 
+    /// Writes what was dispatched.
+    pub fn flush(&mut self) {
+        self.servers.flush(self.now, &mut self.alarms);
+        while self.servers.is_short() {
+            let room = self.make_room();
+            self.servers.flush_short(self.now, room, &mut self.alarms);
+        }
+    }
+
+    /// Where descriptors have run out, a client that waits for nothing gives up its own, or else a connection to some
+    /// node that is idle: clients that fill all there is must cut off neither the nodes nor discovery.
+    pub fn make_room(&mut self) -> bool {
+        let (now, alarms) = (self.now, &mut self.alarms);
+        self.clients.give_way(now, alarms) || self.servers.give_way(now, alarms)
+    }
+
     fn is_full(&self) -> bool {
         self.bounds.most_held.is_some_and(|most| self.held >= most)
     }
--- a/crates/dunepond/src/ending.rs
+++ b/crates/dunepond/src/ending.rs
@@ -8,8 +8,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ending {
-    /// There is no address, descriptor or room in the loop for it.
+    /// There is no address or room in the loop for it.
     NoMeans,
+    /// The process has no descriptor left for it.
+    NoDescriptor,
     Refused,
     /// Not up within the connect limit.
     NeverUp,
@@ -51,7 +53,7 @@
     pub fn end(self, written: bool) -> End {
         match (self, written) {
             // Our own lack must not be held against the node.
-            (Self::NoMeans, _) => End::NotSent,
+            (Self::NoMeans | Self::NoDescriptor, _) => End::NotSent,
             (_, false) => End::NoConnection,
             (_, true) => End::Dropped,
         }
@@ -73,6 +75,7 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
             Self::NoMeans => "could not be opened",
+            Self::NoDescriptor => "found no descriptor",
             Self::Refused => "refused",
             Self::NeverUp => "never came up",
             Self::Reset => "broke",
@@ -97,6 +100,7 @@
 
     #[rstest]
     #[case(Ending::NoMeans, End::NotSent, End::NotSent)]
+    #[case(Ending::NoDescriptor, End::NotSent, End::NotSent)]
     #[case(Ending::Refused, End::NoConnection, End::Dropped)]
     #[case(Ending::NeverUp, End::NoConnection, End::Dropped)]
     #[case(Ending::Reset, End::NoConnection, End::Dropped)]
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -77,6 +77,8 @@
     seq: Option<u64>,
     /// The last list had a line that would not do.
     spoilt: bool,
+    /// There was no descriptor for a call: it can be made again once somebody has made room.
+    pub short: bool,
     asked: f64,
     pause: f64,
 }
@@ -85,8 +87,8 @@
     pub fn new(handle: Handle, pool: &Pool, address: SocketAddr, bounds: &Bounds) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (calls, alarm, seq, pause) = (Vec::new(), None, None, AGAIN.0);
-        let (taken, spoilt, asked) = (Slab::new(), false, f64::MIN);
-        Self { handle, pool, address, nodes, taken, zones, calls, alarm, seq, spoilt, asked, pause }
+        let (taken, spoilt, short, asked) = (Slab::new(), false, false, f64::MIN);
+        Self { handle, pool, address, nodes, taken, zones, calls, alarm, seq, spoilt, short, asked, pause }
     }
 
     /// Calls the agent on a new connection: to watch on from where it was, or for the whole list.
@@ -111,7 +113,10 @@
                 self.calls.push(call);
                 self.ask(now, self.calls.len() - 1, alarms);
             }
-            Err(ending) => self.ended(now, ending, alarms),
+            Err(ending) => {
+                self.short = ending == Ending::NoDescriptor;
+                self.ended(now, ending, alarms);
+            }
         }
     }
 
@@ -195,7 +200,10 @@
         if self.calls.is_empty() || self.alarm.is_none() {
             alarms.unset(self.alarm.take());
             self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
-            self.pause = (2.0 * self.pause).min(AGAIN.1);
+            // Our own lack says nothing of the agent.
+            if ending != Ending::NoDescriptor {
+                self.pause = (2.0 * self.pause).min(AGAIN.1);
+            }
         }
     }
 
--- a/crates/dunepond/src/servers/connect.rs
+++ b/crates/dunepond/src/servers/connect.rs
@@ -26,7 +26,11 @@
         socket.set_tcp_nodelay(true)?;
         Ok(socket)
     };
-    let socket = start().map_err(|_| Ending::NoMeans)?;
+    let lacking = |e: io::Error| match e.raw_os_error() {
+        Some(libc::EMFILE | libc::ENFILE) => Ending::NoDescriptor,
+        _ => Ending::NoMeans,
+    };
+    let socket = start().map_err(lacking)?;
     match socket.connect(&dial.into()) {
         Ok(()) => Ok(socket.into()),
         Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) => Ok(socket.into()),
@@ -38,10 +42,8 @@
 impl Servers {
     pub(super) fn connect(&mut self, now: f64, node: NodeId, alarms: &mut Alarms) -> Result<usize, Ending> {
         let dial = self.servers[node].row.as_ref().and_then(|row| row.dial).ok_or(Ending::NoMeans)?;
-        if self.links.len() >= self.most_links {
-            // Room is made at the cost of the connection that has been idle the longest.
-            let idle = self.idle.first_key_value().map(|(_, id)| *id).ok_or(Ending::NoMeans)?;
-            self.end(now, idle, Ending::Unused, alarms);
+        if self.links.len() >= self.most_links && !self.give_way(now, alarms) {
+            return Err(Ending::NoMeans);
         }
         let (stream, api) = (Rc::new(open(dial)?), self.speaks_api(node));
         let entry = self.links.vacant_entry();
@@ -69,6 +71,13 @@
         Ok(id)
     }
 
+    /// The connection that has been idle the longest makes room; false if there is none.
+    pub fn give_way(&mut self, now: f64, alarms: &mut Alarms) -> bool {
+        let idle = self.idle.first_key_value().map(|(_, id)| *id);
+        idle.into_iter().for_each(|id| self.end(now, id, Ending::Unused, alarms));
+        idle.is_some()
+    }
+
     /// Something can be read or written, or the connection has come up or failed.
     pub fn ready(&mut self, now: f64, id: usize, readable: bool, alarms: &mut Alarms) {
         let Some(link) = self.links.get_mut(id) else { return };
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -107,6 +107,23 @@
         }
     }
 
+    /// Some call has found no descriptor.
+    pub fn is_short(&self) -> bool {
+        !self.short.is_empty()
+    }
+
+    /// Makes one of those calls again, as there is room now; or else tells that it was not sent.
+    pub fn flush_short(&mut self, now: f64, room: bool, alarms: &mut Alarms) {
+        let Some((node, parcels)) = self.short.pop() else { return };
+        if room {
+            self.call(now, node, parcels, alarms);
+            self.servers[node].links.clone().into_iter().for_each(|id| self.write(now, id, alarms));
+        } else {
+            debug!("node {}: connection {}", self.name(node), Ending::NoDescriptor);
+            self.back.extend(parcels.iter().map(|p| p.unsent(node, Ending::NoDescriptor.end(false))));
+        }
+    }
+
     fn call(&mut self, now: f64, node: NodeId, parcels: Vec<Parcel>, alarms: &mut Alarms) {
         let most = self.bounds.calls_a_connection;
         let links = &self.servers[node].links;
@@ -119,6 +136,7 @@
         let open = links.iter().copied().find(|id| fit(&self.links[*id]));
         let id = match open.map_or_else(|| self.connect(now, node, alarms), Ok) {
             Ok(id) => id,
+            Err(Ending::NoDescriptor) => return self.short.push((node, parcels)),
             Err(ending) => {
                 debug!("node {}: connection {ending}", self.name(node));
                 return self.back.extend(parcels.iter().map(|p| p.unsent(node, ending.end(false))));
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -107,6 +107,8 @@
     bounds: Rc<Bounds>,
     /// Nodes with something to frame.
     batched: Vec<NodeId>,
+    /// Calls that found no descriptor for their connection, until somebody has made room, or nobody can.
+    short: Vec<(NodeId, Vec<Parcel>)>,
     /// Nodes that have gone and are not forgotten yet.
     gone: Vec<NodeId>,
     /// What is agreed on, in a fleet.
@@ -193,6 +195,7 @@
             idle,
             bounds,
             batched,
+            short: Vec::new(),
             gone,
             gate: None,
             api: None,
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -129,6 +129,13 @@
         self.settle();
     }
 
+    /// Makes a call to discovery after all that found no descriptor: a list that is not asked for counts as told too.
+    fn call_discovery(&mut self) {
+        if std::mem::take(&mut self.agent.short) && self.desk.make_room() {
+            self.agent.call(self.desk.now, &mut self.desk.alarms);
+        }
+    }
+
     fn disk(&mut self, done: Done) {
         let now = self.tick();
         if let Some(bodies) = &mut self.desk.bodies {
@@ -182,7 +189,7 @@
     fn settle(&mut self) {
         loop {
             let now = self.desk.now;
-            self.desk.servers.flush(now, &mut self.desk.alarms);
+            self.desk.flush();
             self.desk.feed();
             if let Some((node, key)) = self.desk.servers.framed.pop_front() {
                 self.broker.framed(&mut self.desk, node, key);
@@ -312,7 +319,10 @@
                     }
                 }
                 Due::ClientMore(id) => self.desk.clients.go_on(id),
-                Due::Agent => self.agent.due(now, &mut self.desk.alarms),
+                Due::Agent => {
+                    self.agent.due(now, &mut self.desk.alarms);
+                    self.call_discovery();
+                }
                 Due::Accept => {
                     if let Some(known) = self.known.take() {
                         info!("discovery is silent; the configuration's list is in force until it speaks");
--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery's calls broken at every moment, and whole lists that leave nodes out.
+//! Discovery's calls broken at every moment, whole lists that leave nodes out, and descriptors that run out.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -321,6 +321,52 @@
     assert_eq!(came.read(&mut [0; 100]).unwrap(), 0);
 }
 
+/// So many descriptors as a broker may have here, and more idle clients than that: they fill it again and again.
+const DESCRIPTORS: usize = 40;
+const CROWD: usize = 300;
+
+/// A broker that may have no more descriptors than it has, although it was told that it may have far more.
+fn crowded(nodes: &[Node; 2]) -> (Broker, Agent, Call, Client, Vec<TcpStream>) {
+    let agent = Agent::start();
+    let known = vec![nodes[0].line("ready")];
+    let broker = Broker::start_with_descriptors(DESCRIPTORS, &config(agent.address(), known));
+    let (mut call, _) = agent.asked();
+    call.answer(&list(1, vec![nodes[0].line("ready")]));
+    call.asked();
+    let first = Client::to(&broker);
+    let crowd = (0..CROWD).map(|_| TcpStream::connect(broker.address).unwrap()).collect();
+    let folder = format!("/proc/{}/fd", broker.pid());
+    while std::fs::read_dir(&folder).unwrap().count() < DESCRIPTORS {
+        std::thread::yield_now();
+    }
+    (broker, agent, call, first, crowd)
+}
+
+/// Discovery goes down while clients that ask nothing hold all descriptors, and more of them wait to be taken in.
+#[test]
+fn without_descriptors_a_call_to_discovery_still_finds_one() {
+    let nodes = nodes();
+    let (broker, agent, call, first, crowd) = crowded(&nodes);
+    let since = Instant::now();
+    drop(call);
+    let (mut call, path) = agent.asked();
+    assert_eq!(path, "/v1/endpoints");
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    call.answer(&drained(2, &nodes));
+    assert!(call.asked().contains("index=2&"));
+    drop((first, crowd));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// Nor may the nodes be out of reach for them.
+#[test]
+fn without_descriptors_a_part_still_finds_a_connection_to_its_node() {
+    let nodes = nodes();
+    let (_broker, _agent, _call, mut first, _crowd) = crowded(&nodes);
+    assert_eq!(first.ask(&scan("fix", "c1", &[0], "2.0")).status, 200);
+    assert_eq!(nodes[0].frames('A').len(), 1);
+}
+
 /// Nothing known and nobody to ask: it says so, and is ready with the first list.
 #[rstest]
 #[case::no_list(Value::Null)]
