Start: a port that an old process still holds is waited for, as long as that may live

Seen by a probe: with its port held by somebody else for the moment the program ended at once with GW_LISTEN and was never ready, also where the holder is the old process on its way to its end (it listens for up to 0.65 s after SIGTERM, longer while there is no room, and may live for the longest query timeout, 3 s of it counting, and 0.7 s more). Cause: start.rs, one `listen` before the loop.

The address is tried again each 20 ms until the old process must be gone, 3.7 s; then the start ends with the key as before, before anything is listened on (a story for that too). FIRST_LIST is now two paces of discovery's calls by name. The story of the held port fails without the change.

--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -26,7 +26,7 @@
 /// How long after its time an answer is missed: another call goes out beside the one that is silent, as what is
 /// broken may be that one connection, and is itself missed so soon, as it asks for what can be had at once. At this pace
 /// there is one soon after an agent's return too: what it gets then counts at once.
-const OVERDUE: f64 = TOLD / 12.0;
+pub const OVERDUE: f64 = TOLD / 12.0;
 /// Between two calls at least, far inside of the 0.2 s that keep a watch alive: an agent that answers a watch at
 /// once, whatever it is asked, must not make us ask it in circles.
 const APART: f64 = 0.05;
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -1,9 +1,12 @@
 //! The start: all that a broker is made of is put together, and serves until it is told to end.
 
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use calloop::EventLoop;
 use calloop::channel::{self, channel};
@@ -14,7 +17,7 @@
 use dunepond_settings::operator;
 use dunepond_store::Files;
 use dunepond_work::{Pool as WorkPool, Scheduler};
-use tracing::info;
+use tracing::{info, warn};
 
 use super::World;
 use crate::api::Door;
@@ -28,7 +31,7 @@
 use crate::desk::Desk;
 use crate::fleet::Fleet;
 use crate::keeping::Keeping;
-use crate::list::Agent;
+use crate::list::{Agent, OVERDUE};
 use crate::questions::Questions;
 use crate::servers::Servers;
 use crate::turn::{Handle, Ready, Turn};
@@ -38,9 +41,12 @@
 const KILLED: f64 = 0.7;
 const COUNTED: f64 = 3.0;
 const ANSWERED: f64 = 0.15;
-/// How long a new process waits for the list. What the agent on its machine has counts as told from its first moment,
-/// and what it was left with may be old; but while discovery is down there is nothing else to go by.
-const FIRST_LIST: f64 = 1.0;
+/// How long a new process waits for the list: for a call and for the one beside it. What the agent on its machine has
+/// counts as told from its first moment, and what it was left with may be old; but while discovery is down there is
+/// nothing else to go by.
+const FIRST_LIST: f64 = 2.0 * OVERDUE;
+/// How soon an address that is still held is tried again.
+const HELD_AGAIN: Duration = Duration::from_millis(20);
 
 /// What its program lends a broker.
 #[derive(Default)]
@@ -84,6 +90,26 @@
     Ok(Some((spool, folder)))
 }
 
+/// Listens at an address. An old process may hold it still, which has been told to end: by the time at which that one
+/// may be killed it has let go. Whoever ended at once here would never be ready.
+fn listen(what: &str, address: SocketAddr) -> io::Result<TcpListener> {
+    let (since, mut waits) = (Instant::now(), false);
+    loop {
+        match clients::listen(address) {
+            Err(e)
+                if e.kind() == io::ErrorKind::AddrInUse
+                    && since.elapsed().as_secs_f64() < COUNTED + KILLED =>
+            {
+                if !std::mem::replace(&mut waits, true) {
+                    warn!("{what}: {address}: {e}; waiting for whoever holds it");
+                }
+                thread::sleep(HELD_AGAIN);
+            }
+            outcome => return outcome,
+        }
+    }
+}
+
 /// Serves until it is told to end.
 pub fn serve(start: Start, mut hooks: Hooks) -> Result<(), Bad> {
     let failed = |what: &str, why: &dyn std::fmt::Display| Bad(format!("{what}: {why}"));
@@ -105,7 +131,7 @@
     let mut agent = Agent::new(handle.clone(), &pool, start.discovery, &bounds);
     // A list that cannot be read is none: discovery will bring another.
     let known = agent.read(&start.known).ok().map(|(_, news, _)| news);
-    let listener = clients::listen(start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
+    let listener = listen("GW_LISTEN", start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
     let local = listener.local_addr().map_err(|e| failed("GW_LISTEN", &e))?;
     let clients =
         Clients::new(handle.clone(), &pool, bounds.clone(), start.most_clients, start.most_buffers, listener);
@@ -120,7 +146,7 @@
     }
     let mut desk = Desk::new(&start.deployment, bounds, &pool, clients, servers);
     if let Some(told) = &start.operator.search {
-        let listener = clients::listen(told.listen).map_err(|e| failed("search: listen", &e))?;
+        let listener = listen("search: listen", told.listen).map_err(|e| failed("search: listen", &e))?;
         let api = listener.local_addr().map_err(|e| failed("search: listen", &e))?;
         desk.clients.open(listener, true).map_err(|e| failed("search: listen", &e))?;
         let door = Door::new(told.limits.clone(), table_bounds, &start.deployment);
--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -1,10 +1,10 @@
-//! Discovery's calls broken at every moment, whole lists that leave nodes out, and descriptors that run out.
+//! Discovery's calls broken at every moment, whole lists that leave nodes out, and a start without port or descriptors.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
+use dunepond_lab::store::{Broker, Client, List, Node, config, launch, scan};
 use rstest::rstest;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -367,6 +367,39 @@
     assert_eq!(nodes[0].frames('A').len(), 1);
 }
 
+/// An old process may still be on its way to its end when the new one begins: until it is killed at the latest.
+#[test]
+fn a_port_that_an_old_process_still_holds_is_waited_for() {
+    let nodes = nodes();
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = held.local_addr().unwrap();
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["listen"] = json!(at.to_string());
+    let (mut child, file) = launch(&config);
+    let mut lines = BufReader::new(child.stderr.as_mut().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("GW_LISTEN")), "it says what it waits for");
+    drop(held);
+    assert!(lines.any(|line| line.contains("listening on")));
+    assert_eq!(Client::dial(at).ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(file).unwrap();
+}
+
+#[test]
+fn a_port_that_stays_held_is_named_and_ends_the_start() {
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config("127.0.0.1:1".parse().unwrap(), vec![]);
+    config["listen"] = json!(held.local_addr().unwrap().to_string());
+    let (mut child, file) = launch(&config);
+    let mut said = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+    assert!(!child.wait().unwrap().success());
+    std::fs::remove_file(file).unwrap();
+    assert!(said.lines().last().is_some_and(|line| line.contains("GW_LISTEN")), "{said}");
+}
+
 /// Nothing known and nobody to ask: it says so, and is ready with the first list.
 #[rstest]
 #[case::no_list(Value::Null)]
