A client's end goes before whatever else its moment brings, and nothing is sent on by an old look

Seen (tests/gone.rs before the change): a part's refusal and its client's close, both there when the broker went on, had the part repeated (`A` twice, then `B`); an answer and a close began the request behind it; a connection to a node that came up as the client closed carried the part (`A` 1, `B` 1). With the broker busy for a turn, a close in the middle of that turn was met after the repeat.

Cause: `serve` takes a turn's causes in the order in which epoll has them, and `settle` hands what came back to the module before any further client is read. What comes while a turn is being worked off is in no queue at all until the next one.

Now: hang-ups among what a turn brings are taken first (`World::hang_ups`; only of clients whose scan is held, which are read sooner by it and no more often).

Ruled out: clients that leave before a late connection is up (recalled without a trace, the case passes before as well); closes of a scan that waits, is answered or unknown (nothing is sent or taken back); the frame of a part that is still in our output is cut with its connection, as before. Not covered: a frame that the system still holds for a node that is cut off.

Each taken out by itself: without hang_ups a_part_that_failed and a_request_close_behind_another fail, without the look in dispatch a_part_is_not_repeated_for_who_closes_while_the_broker_is_busy, without the one in link_ready the case WhileBusy.

--- a/crates/dunepond/src/clients/hangup.rs
+++ b/crates/dunepond/src/clients/hangup.rs
@@ -30,6 +30,19 @@
         self.clients[id].hung_up.is_some()
     }
 
+    /// Something is to be read: of who waits for an answer that may be its end.
+    pub fn look_ahead(&mut self, now: f64, id: usize) {
+        let Some(client) = self.clients.get_mut(id) else { return };
+        let waits = match &client.phase {
+            Phase::Raw(raw) => raw.scan.is_some(),
+            phase => matches!(phase, Phase::Waiting | Phase::Held(_)),
+        };
+        if waits {
+            (client.readable, client.seen) = (true, f64::MIN);
+            self.has_hung_up(now, id);
+        }
+    }
+
     /// Lets go of one that has hung up; names the scan that was held for it.
     pub fn next_hung_up(&mut self, alarms: &mut Alarms) -> Option<Option<ScanId>> {
         let id = self.hung_up.pop()?;
--- a/crates/dunepond/src/desk/host.rs
+++ b/crates/dunepond/src/desk/host.rs
@@ -33,6 +33,7 @@
         let began = in_hand.agreed.as_ref().map(Agreed::began);
         let parcel = Parcel { scan, part, shot, id, seg, table_type, until, text, reader, began };
         let late = in_hand.over || gone || shot >= self.dispatch_cap || until <= self.now;
+        let late = late || in_hand.client.is_some_and(|client| self.clients.has_hung_up(self.now, client));
         if !late && !self.may(node, &parcel) {
             return self.servers.back.push_back(parcel.unsent(node, End::NotSent));
         }
--- a/crates/dunepond/src/desk/over.rs
+++ b/crates/dunepond/src/desk/over.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    /// Looks whether the client of this scan has gone; the next that lets go of hang-ups will hear of it.
+    pub fn look_after(&mut self, scan: ScanId) {
+        let client = self.scans.get(&scan).filter(|s| !s.over).and_then(|s| s.client);
+        if let Some(client) = client {
+            self.clients.has_hung_up(self.now, client);
+        }
+    }
+
     /// The scan's client has gone.
     pub fn left(&mut self, scan: ScanId) {
         if let Some(in_hand) = self.scans.get(&scan) {
--- a/crates/dunepond/src/servers/recall.rs
+++ b/crates/dunepond/src/servers/recall.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// The scans of which something waits on this connection for its last byte to be written.
+    pub fn unsent(&self, id: usize) -> Vec<ScanId> {
+        let Some(link) = self.links.get(id) else { return Vec::new() };
+        let unsent = link.carried.iter().filter(|o| o.to.is_none_or(|to| to > link.out.written()));
+        unsent.map(|o| o.parcel.scan).collect()
+    }
+
     /// Takes back what has not gone out, if it has not: once its scan is answered no part of it may.
     pub fn recall(&mut self, now: f64, node: NodeId, key: (ScanId, usize, usize), end: End) -> bool {
         let Some(server) = self.servers.get_mut(node) else { return false };
--- a/crates/dunepond/src/world/hangup.rs
+++ b/crates/dunepond/src/world/hangup.rs
@@ -3,8 +3,21 @@
 use dunepond_decide::ScanId;
 
 use super::World;
+use crate::turn::{Ready, Turn};
 
 impl World {
+    /// Hang-ups are taken before all else that a turn brings: what a node said may have come sooner, and what it would
+    /// have sent again is not wanted any more.
+    pub(super) fn hang_ups(&mut self, turn: &Turn) {
+        let now = self.tick();
+        for ready in &turn.ready {
+            if let Ready::Client(id, true) = ready {
+                self.desk.clients.look_ahead(now, *id);
+            }
+        }
+        self.let_go();
+    }
+
     /// Lets go of those that were seen to have gone.
     pub(super) fn let_go(&mut self) {
         while let Some(held) = self.desk.clients.next_hung_up(&mut self.desk.alarms) {
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -107,6 +107,10 @@
 
     fn link_ready(&mut self, id: usize, readable: bool) {
         let now = self.tick();
+        for scan in self.desk.servers.unsent(id) {
+            self.desk.look_after(scan);
+        }
+        self.let_go();
         self.desk.servers.ready(now, id, readable, &mut self.desk.alarms);
         self.settle();
     }
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -203,6 +203,7 @@
         event_loop.dispatch(wait, &mut turn).map_err(|e| failed("loop", &e))?;
         // Nothing came but a time: whatever runs now delays nobody who is already there.
         let calm = turn.ready.is_empty();
+        world.hang_ups(&turn);
         while let Some(ready) = turn.ready.pop_front() {
             world.turn(ready);
         }
