Signals are caught first of all: SIGHUP at the process's first moment killed it

Seen: held in the reading of its configuration (a FIFO stands for the file) and sent SIGHUP, the process died of the signal, which is a crash. SIGTERM and SIGINT killed it, too, where an end with 0 is due. At fault: main.rs parsed, read both files and started the log before serve() (world/start.rs) blocked the signals and opened their descriptor. Now main does that first, and hands the descriptor to serve; what came before is heard in the first turn. What is left is the loader's time before main, which no program of ours can cover.

--- a/crates/dunepond-lab/src/main.rs
+++ b/crates/dunepond-lab/src/main.rs
@@ -78,7 +78,7 @@
     let fleet = fleet.map(|(fleet, told)| ToldFiles::new(&fleet.folder, &told)).transpose()?;
     let fleet =
         StandIns { files: fleet.map(|files| Arc::new(files) as Arc<dyn Files>), ..StandIns::default() };
-    serve(start, Hooks { operator: Some(file), folder, files, fleet }).map_err(plain)
+    serve(start, Hooks { operator: Some(file), folder, files, fleet, ..Hooks::default() }).map_err(plain)
 }
 
 fn main() -> anyhow::Result<ExitCode> {
--- a/crates/dunepond/src/lib.rs
+++ b/crates/dunepond/src/lib.rs
@@ -24,5 +24,6 @@
 mod turn;
 mod world;
 
+pub use calloop::signals::Signals;
 pub use fleet::check as check_fleet;
-pub use world::{Hooks, serve};
+pub use world::{Hooks, catch_signals, serve};
--- a/crates/dunepond/src/main.rs
+++ b/crates/dunepond/src/main.rs
@@ -7,7 +7,7 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use dunepond::{Hooks, ask, check_fleet, config, keeping, logger, migrate, serve};
+use dunepond::{Hooks, Signals, ask, catch_signals, check_fleet, config, keeping, logger, migrate, serve};
 use dunepond_settings::Bad;
 use dunepond_settings::migrate::Ask;
 use dunepond_settings::operator::Operator;
@@ -144,7 +144,8 @@
     }
 }
 
-fn run(path: Option<PathBuf>) -> Result<(), Bad> {
+fn run(path: Option<PathBuf>, signals: Option<Result<Signals, Bad>>) -> Result<(), Bad> {
+    let signals = signals.transpose()?;
     let operator = path.as_deref().map_or(Ok(Operator::default()), config::operator)?;
     let mut start = config::read(|name| std::env::var(name).ok())?;
     start.operator = operator;
@@ -154,7 +155,7 @@
         warn!("settings: {key}: allowed, and not done on sockets");
     }
     // From here on the log has what goes wrong.
-    serve(start, Hooks { operator: path, ..Hooks::default() }).map_err(|Bad(line)| {
+    serve(start, Hooks { operator: path, signals, ..Hooks::default() }).map_err(|Bad(line)| {
         error!("{line}");
         Bad(String::new())
     })
@@ -174,9 +175,14 @@
 }
 
 fn main() -> ExitCode {
-    let outcome = match Line::parse().command {
-        None => run(None),
-        Some(Command::Run { operator }) => run(operator),
+    // Before all else: in a process that does not hear it yet, SIGHUP would be a crash.
+    let signals = catch_signals();
+    let command = Line::parse().command;
+    // Nothing but a broker is steered by them.
+    let signals = matches!(command, None | Some(Command::Run { .. })).then_some(signals);
+    let outcome = match command {
+        None => run(None, signals),
+        Some(Command::Run { operator }) => run(operator, signals),
         Some(Command::Check { file }) => {
             check(&file).map(|()| println!("{}: nothing is wrong with it", file.display()))
         }
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -20,7 +20,7 @@
 use crate::keeping::Keeping;
 use crate::list::{Agent, News};
 use crate::turn::Ready;
-pub use start::{Hooks, serve};
+pub use start::{Hooks, catch_signals, serve};
 
 /// All that a turn of the loop works on.
 struct World {
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -42,9 +42,19 @@
 /// and what it was left with may be old; but while discovery is down there is nothing else to go by.
 const FIRST_LIST: f64 = 1.0;
 
+/// Catches the signals that a broker is steered by, and keeps them until it serves: one that came before would kill the
+/// process. To be called before anything else is done, and before any thread is started. Dropped, it gives them back
+/// their way.
+pub fn catch_signals() -> Result<Signals, Bad> {
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
+    signals.map_err(|e| Bad(format!("signals: {e}")))
+}
+
 /// What its program lends a broker.
 #[derive(Default)]
 pub struct Hooks {
+    /// The signals, where they were caught before.
+    pub signals: Option<Signals>,
     /// The operator's file, to be read again at SIGHUP.
     pub operator: Option<PathBuf>,
     /// Stands in for the folder that the operator's file names for bodies.
@@ -92,8 +102,7 @@
     }
     let mut event_loop = EventLoop::try_new().map_err(|e| failed("loop", &e))?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
-    let signals = signals.map_err(|e| failed("signals", &e))?;
+    let signals = hooks.signals.take().map_or_else(catch_signals, Ok)?;
     let signals = handle.insert_source(signals, |event, _, turn: &mut Turn| {
         turn.ready.push_back(match event.signal() {
             Signal::SIGHUP => Ready::Reread,
