A connection is read once more before it is closed, and closed on our side first

Seen: sixty clients connected and asked while the process stood still, with room for eighteen: some connections were closed with no answer. At fault: accept.rs least() chose who makes room by times alone, so a connection accepted in the same turn and not read yet could go, over its unread request. The same close without a last look, dropping the socket, was in answer.rs write() (over a quarter at rest), in time.rs slow() (a time rings after all readiness of its turn, but bytes that come during that turn are unread) and in closing.rs close_unasked() at one second; where it looked, all were read first, scans begun, and only then all closed. Over unread bytes a close resets the connection, and takes back what of an answer is still on its way (also that of one that lingered after its last answer, which made room unread). Now the last look comes with the close: what has come is taken; with nothing there our side is shut, the client's end is awaited for the time that was there for parted clients, and what crosses is thrown away, never sent on. Who waits to be read makes no room; at the cap the connection still goes at once, as its place is what is wanted. A time that rings has its client read before it is acted on. Ruled out: small writes held back by the system, as every accepted socket has TCP_NODELAY (accept.rs enter).

--- a/crates/dunepond/src/clients/accept.rs
+++ b/crates/dunepond/src/clients/accept.rs
@@ -9,15 +9,12 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::warn;
 
-use super::time::ASKS;
 use super::{Client, Clients, Phase};
 use crate::buffers::Outflow;
 use crate::clock::{Alarms, Due};
 use crate::ending::Ending;
 use crate::turn::{Ready, watch};
 
-/// Who has not asked for so long makes room before those that rest, which have asked before.
-const LATE: f64 = 0.25;
 /// Connections accepted before all others have their turn.
 const ACCEPTS: usize = 32;
 /// How soon accepting is tried again after it has failed for want of means.
@@ -50,9 +47,11 @@
         for _ in 0..ACCEPTS {
             let Some(at) = self.listeners.iter().position(|door| door.2 == api) else { return false };
             let full = self.clients.len() >= self.most;
-            let least = self.least(now).filter(|_| full);
+            let least = if full { self.least(now) } else { None };
             if full && least.is_none() {
-                self.pause(None, alarms);
+                // Who is to be read may turn out to be nobody that is owed an answer.
+                let soon = !self.again.is_empty();
+                self.pause(soon.then_some(now), alarms);
                 return false;
             }
             match self.listeners[at].0.accept() {
@@ -77,15 +76,6 @@
         true
     }
 
-    /// Who makes room for others: never one that is owed an answer. One that has only just connected is given
-    /// its time to ask, as long as such do not take up half of all.
-    fn least(&self, now: f64) -> Option<usize> {
-        let asking = self.asking.first_key_value();
-        let late = ((now + ASKS - LATE) * 1e6) as u64;
-        let overdue = asking.filter(|(key, _)| key.0 < late || 2 * self.asking.len() > self.most);
-        overdue.or(self.resting.first_key_value()).or(asking).map(|(_, id)| *id)
-    }
-
     fn enter(
         &mut self,
         now: f64,
--- a/crates/dunepond/src/clients/answer.rs
+++ b/crates/dunepond/src/clients/answer.rs
@@ -1,13 +1,10 @@
 //! Answers to clients: written, and the connection rested or parted with after them.
 
-use std::net::Shutdown;
-
 use dunepond_decide::ScanId;
 use tracing::debug;
 
 use super::{Clients, Phase, complaint};
 use crate::clock::Alarms;
-use crate::ending::Ending;
 use crate::http::{self, Refusal};
 
 /// Longest that a client may take over taking an answer, once that has begun.
@@ -16,11 +13,6 @@
 /// some ask once and stay for good, and clients that may hold only so many then have none left to ask on.
 const RESTS: f64 = 4.0;
 const RESTING: usize = 4;
-/// How long a client may take to close its side after its last answer.
-const PARTING: f64 = 1.0;
-/// The same for one that was answered in the middle of a body: closed before it has looked for its answer, the
-/// connection would take the answer back.
-const PARTING_BODY: f64 = 5.0;
 
 impl Clients {
     /// This client's scan is held under that number until it is answered.
@@ -69,22 +61,17 @@
             _ if !taken => drop(self.set(id, now + TAKES, alarms)),
             // It has taken all: held against it later, its alarm would end it while its next scan is held.
             Phase::Waiting | Phase::Held(_) => self.calm(id, alarms),
+            Phase::Head if keep && self.rest_is_over => self.part(now, id, alarms),
             Phase::Head if keep => {
                 self.rests(id, now + RESTS, alarms);
                 self.make_room(alarms);
                 if self.resting.len() > self.most / RESTING
                     && let Some(longest) = self.resting.first_key_value().map(|(_, id)| *id)
                 {
-                    self.end(longest, Ending::Unused, alarms);
+                    self.part(now, longest, alarms);
                 }
             }
-            Phase::Head => {
-                // Closed at once, with something unread, it would take the answer back.
-                let _ = client.stream.shutdown(Shutdown::Write);
-                client.phase = Phase::Parting;
-                let parting = if client.in_body { PARTING_BODY } else { PARTING };
-                self.rests(id, now + parting, alarms);
-            }
+            Phase::Head => self.linger(now, id, alarms),
             Phase::Body(_) | Phase::Raw(_) | Phase::Parting => {}
         }
     }
--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -1,9 +1,33 @@
-//! The doors' and the clients' part in the broker's end.
+//! How connections close that nobody is owed an answer on: at rest, for want of room, on the way to the end.
+//!
+//! Bytes may come between any look and the close behind it, and a close over unread bytes resets the connection, with
+//! it what of the last answer is still on its way. So what has come is read at the last moment, and a request in it is
+//! taken. With nothing there our side is shut and the other awaited (a lingering close): what crosses is thrown
+//! away, never sent on, and its client, which sees the end before an answer, asks it again elsewhere.
 
-use super::{Client, Clients};
-use crate::clock::Alarms;
+use std::io;
+use std::net::Shutdown;
+
+use super::time::ASKS;
+use super::{Client, Clients, Phase};
+use crate::clock::{Alarms, Key};
 use crate::ending::Ending;
 
+/// Who has not asked for so long makes room before those that rest, which have asked before.
+const LATE: f64 = 0.25;
+/// How long a client may take to close its side after its last answer.
+const PARTING: f64 = 1.0;
+/// The same for one that was answered in the middle of a body: closed before it has looked for its answer, the
+/// connection would take the answer back.
+const PARTING_BODY: f64 = 5.0;
+/// What the last look at a connection has shown.
+pub(super) enum Last {
+    /// Something has come, and will be read in its turn.
+    Said,
+    Silent,
+    Gone(Ending),
+}
+
 impl Clients {
     /// Takes in what has come to the listeners so far, and closes them. False, and nothing is closed, while there is
     /// no room for all of it: those that wait at a listener are reset with it.
@@ -26,26 +50,108 @@
         self.closing = true;
     }
 
-    /// What those that rest have to say is read once more, told of by a readiness or not: closed with something
-    /// unread, a connection is reset.
-    pub fn read_resting(&mut self) {
+    /// Closes the connections at rest, those of now and of later.
+    pub fn close_resting(&mut self, now: f64, alarms: &mut Alarms) {
+        self.rest_is_over = true;
         for id in self.unasked(true) {
-            self.clients[id].readable = true;
-            self.again.push(id);
+            self.part(now, id, alarms);
         }
     }
 
-    /// Ends the connections on which nothing more has been asked; those on which nothing was asked so far
-    /// only if `all`, as their first request may be on its way.
-    pub fn close_unasked(&mut self, all: bool, alarms: &mut Alarms) {
-        for id in self.unasked(!all) {
-            self.end(id, Ending::Unused, alarms);
+    /// Closes the connections on which nothing more was asked, also those that have not asked at all.
+    pub fn close_unasked(&mut self, now: f64, alarms: &mut Alarms) {
+        for id in self.unasked(false) {
+            self.part(now, id, alarms);
         }
     }
 
-    pub(super) fn unasked(&self, rests: bool) -> Vec<usize> {
+    fn unasked(&self, rests: bool) -> Vec<usize> {
         let resting = |c: &Client| c.alarm.is_some_and(|key| self.resting.contains_key(&key));
         let unasked = self.clients.iter().filter(|(_, c)| c.unasked() && (!rests || resting(c)));
         unasked.map(|(id, _)| id).collect()
     }
+
+    /// Its time is up: whatever it has sent by now is to be read before `slow`. Names the time that is up.
+    pub fn hear_out(&mut self, id: usize) -> Option<Key> {
+        let client = self.clients.get_mut(id)?;
+        client.readable = true;
+        self.again.push(id);
+        client.alarm
+    }
+
+    /// Its time is still up, after what it had sent was read.
+    pub fn is_still_slow(&self, id: usize, alarm: Option<Key>) -> bool {
+        alarm.is_some() && self.clients.get(id).is_some_and(|client| client.alarm == alarm)
+    }
+
+    /// Reads once more, whether a readiness has told of something or not.
+    pub(super) fn last_read(&mut self, now: f64, id: usize) -> Last {
+        let Some(client) = self.clients.get_mut(id) else { return Last::Gone(Ending::Closed) };
+        let mut input = client.input.take().unwrap_or_else(|| self.pool.take());
+        let fresh = input.is_empty();
+        let read = loop {
+            match input.read_from(&*client.stream) {
+                _ if input.is_full() => break Ok(1),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                read => break read,
+            }
+        };
+        client.input =
+            Some(input).filter(|input| !input.is_empty() && !matches!(client.phase, Phase::Parting));
+        match read {
+            Ok(0) => Last::Gone(Ending::Closed),
+            Ok(_) => {
+                if fresh && matches!(client.phase, Phase::Head) {
+                    client.began = now;
+                }
+                client.readable = true;
+                self.again.push(id);
+                Last::Said
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Last::Silent,
+            Err(e) => Last::Gone(Ending::of(&e)),
+        }
+    }
+
+    /// Closes a connection on which nothing is asked; if something has just come, it stays for that.
+    pub(super) fn part(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        // What was read together with the request before is a request, too.
+        if self.clients.get(id).is_some_and(|client| client.input.is_some()) {
+            return self.asks(now, id, alarms);
+        }
+        match self.last_read(now, id) {
+            Last::Said => self.asks(now, id, alarms),
+            Last::Silent => self.linger(now, id, alarms),
+            Last::Gone(ending) => drop(self.end(id, ending, alarms)),
+        }
+    }
+
+    /// Shuts our side, and waits for the client to close its own.
+    pub(super) fn linger(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        let Some(client) = self.clients.get_mut(id) else { return };
+        let _ = client.stream.shutdown(Shutdown::Write);
+        client.phase = Phase::Parting;
+        client.input = None;
+        let time = if client.in_body { PARTING_BODY } else { PARTING };
+        let key = self.set(id, now + time, alarms);
+        self.parting.insert(key, id);
+        self.make_room(alarms);
+    }
+
+    /// Who makes room for others: never one that is owed an answer, and nobody who has sent something that is not
+    /// read yet. One that has only just connected is given its time to ask, as long as such do not take up half of
+    /// all. `None`, too, if all that could go have just been found to have something to say.
+    pub(super) fn least(&mut self, now: f64) -> Option<usize> {
+        let late = ((now + ASKS - LATE) * 1e6) as u64;
+        loop {
+            let many = 2 * self.asking.len() > self.most;
+            let overdue = self.asking.iter().filter(|(key, _)| key.0 < late || many);
+            let in_order = overdue.chain(&self.parting).chain(&self.resting).chain(&self.asking);
+            // Its turn to be read comes before its turn to go.
+            let id = in_order.map(|(_, id)| *id).find(|id| !self.again.contains(id))?;
+            if !matches!(self.last_read(now, id), Last::Said) {
+                return Some(id);
+            }
+        }
+    }
 }
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -109,6 +109,8 @@
     /// nothing. At the cap these make room.
     asking: BTreeMap<Key, usize>,
     resting: BTreeMap<Key, usize>,
+    /// Whose connections are shut on our side only.
+    parting: BTreeMap<Key, usize>,
     /// Whether the raw form is taken.
     pub raw: bool,
     /// Bodies of which more has come, and who brings it.
@@ -122,6 +124,8 @@
     /// After SIGTERM: not ready; then also: each connection closes after its answer.
     pub leaving: bool,
     pub closing: bool,
+    /// And then: none is kept on which nothing is asked.
+    rest_is_over: bool,
     /// By then every request has its answer, whatever time its client leaves.
     pub until: f64,
 }
@@ -147,6 +151,7 @@
             api: None,
             asking: BTreeMap::new(),
             resting: BTreeMap::new(),
+            parting: BTreeMap::new(),
             raw: false,
             moved: Vec::new(),
             stalled: Vec::new(),
@@ -154,6 +159,7 @@
             may_serve: false,
             leaving: false,
             closing: false,
+            rest_is_over: false,
             until: f64::MAX,
         };
         clients.open(listener, false)?;
--- a/crates/dunepond/src/clients/time.rs
+++ b/crates/dunepond/src/clients/time.rs
@@ -38,6 +38,7 @@
             alarms.unset(Some(key));
             self.asking.remove(&key);
             self.resting.remove(&key);
+            self.parting.remove(&key);
         }
     }
 
@@ -49,7 +50,8 @@
             return self.end(id, Ending::Stalled, alarms);
         }
         if client.unasked() {
-            return self.end(id, Ending::Unused, alarms);
+            self.part(now, id, alarms);
+            return None;
         }
         client.keep = false;
         let why = refusal(408, "request: not whole in time");
--- a/crates/dunepond/src/world/ending.rs
+++ b/crates/dunepond/src/world/ending.rs
@@ -38,13 +38,11 @@
             self.desk.alarms.set(now + STILL_COMING - since, Due::Drain);
         } else if !self.over {
             self.over = self.desk.clients.close_listeners(now, &mut self.desk.alarms);
-            self.desk.clients.read_resting();
-            self.settle();
-            self.desk.clients.close_unasked(false, &mut self.desk.alarms);
+            self.desk.clients.close_resting(now, &mut self.desk.alarms);
             let next = if self.over { (STILL_ASKING - since).max(ROOM) } else { ROOM };
             self.desk.alarms.set(now + next, Due::Drain);
         } else {
-            self.desk.clients.close_unasked(true, &mut self.desk.alarms);
+            self.desk.clients.close_unasked(now, &mut self.desk.alarms);
         }
     }
 }
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -307,7 +307,12 @@
                 Due::Work => self.background.rung(),
                 Due::Link(id) => self.desk.servers.due(now, id, &mut self.desk.alarms),
                 Due::ClientSlow(id) => {
-                    if let Some(scan) = self.desk.clients.slow(now, id, &mut self.desk.alarms) {
+                    // What it has sent may be behind this in the same turn.
+                    let time = self.desk.clients.hear_out(id);
+                    self.settle();
+                    if self.desk.clients.is_still_slow(id, time)
+                        && let Some(scan) = self.desk.clients.slow(now, id, &mut self.desk.alarms)
+                    {
                         self.client_left(scan);
                     }
                 }
--- a/crates/dunepond/tests/shutdown.rs
+++ b/crates/dunepond/tests/shutdown.rs
@@ -9,7 +9,7 @@
 
 use dunepond_lab::store::{Broker, Client, List, Manner, Node, config, program, scan, scratch};
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const READY: &str = "GET /ready HTTP/1.1\r\n\r\n";
 
@@ -121,6 +121,22 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+/// They came all at once, while it stood still: with no room for them, none has to go that has asked.
+#[test]
+fn a_burst_over_the_cap_is_answered() {
+    let nodes = [Node::start("s-0")];
+    let (broker, _list) = before(&nodes, |config| config["limits"]["sockets"] = json!(48));
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c0", &[1], "2.0")).status, 200);
+    broker.signal("STOP");
+    let mut clients: Vec<_> = (0..60).map(|_| Client::to(&broker)).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&scan("find", &format!("b{i}"), &[1], "2.5"));
+    }
+    broker.signal("CONT");
+    let answered = clients.iter_mut().filter_map(Client::answer).filter(|a| a.status == 200).count();
+    assert_eq!(answered, 60);
+}
+
 /// Signalled before the writer was done: the pipe holds the broker in its reading.
 #[rstest]
 fn a_configuration_half_written_changes_nothing(#[values(false, true)] ends: bool) {
