--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -3,10 +3,11 @@
 mod background;
 mod changing;
 mod ending;
+mod hangup;
 mod start;
 
 use dunepond_bodies::{BodyId, Done};
-use dunepond_decide::{Broker, Scan, ScanId};
+use dunepond_decide::{Broker, Scan};
 use dunepond_settings::operator::Operator;
 use tracing::info;
 
@@ -20,7 +21,7 @@
 use crate::keeping::Keeping;
 use crate::list::{Agent, News};
 use crate::turn::Ready;
-pub use start::{Hooks, serve};
+pub use start::{Hooks, catch_signals, serve};
 
 /// All that a turn of the loop works on.
 struct World {
@@ -106,6 +107,10 @@
 
     fn link_ready(&mut self, id: usize, readable: bool) {
         let now = self.tick();
+        for scan in self.desk.servers.unsent(id) {
+            self.desk.look_after(scan);
+        }
+        self.let_go();
         self.desk.servers.ready(now, id, readable, &mut self.desk.alarms);
         self.settle();
     }
@@ -177,18 +182,12 @@
         }
     }
 
-    fn client_left(&mut self, held: ScanId) {
-        for scan in self.desk.all_of(held) {
-            self.desk.left(scan);
-            self.broker.client_left(&mut self.desk, scan);
-        }
-    }
-
     /// Carries on until nothing is left to tell: requests that have been read, orders to be written, and
     /// ends that came while the module was in a call, as its calls never nest.
     fn settle(&mut self) {
         loop {
             let now = self.desk.now;
+            self.let_go();
             self.desk.flush();
             self.desk.feed();
             if let Some((node, key)) = self.desk.servers.framed.pop_front() {
@@ -314,7 +313,12 @@
                 Due::Work => self.background.rung(),
                 Due::Link(id) => self.desk.servers.due(now, id, &mut self.desk.alarms),
                 Due::ClientSlow(id) => {
-                    if let Some(scan) = self.desk.clients.slow(now, id, &mut self.desk.alarms) {
+                    // What it has sent may be behind this in the same turn.
+                    let time = self.desk.clients.hear_out(id);
+                    self.settle();
+                    if self.desk.clients.is_still_slow(id, time)
+                        && let Some(scan) = self.desk.clients.slow(now, id, &mut self.desk.alarms)
+                    {
                         self.client_left(scan);
                     }
                 }
--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -420,3 +420,22 @@
     assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
     assert!(since.elapsed() < IN_TIME, "{:?}", since.elapsed());
 }
+
+/// Its port takes connections in from its first moment, whoever is told of it: who asks there has a time of its own, and
+/// is told to come again before that is up, by an agent that stays silent or not.
+#[test]
+fn a_scan_before_the_first_list_is_throttled_in_its_time() {
+    let nodes = nodes();
+    let agent = Agent::start();
+    let mut config = config(agent.address(), vec![nodes[0].line("ready")]);
+    config["settings"]["services"][1]["deadlineMs"] = json!(600.0);
+    config["settings"]["services"][1]["aimMs"] = json!(300.0);
+    let broker = Broker::start(&config);
+    let (mut call, _) = agent.asked();
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("fix", "c1", &[0], "0.6")).status, 429);
+    call.answer(&drained(2, &nodes));
+    assert!(call.asked().contains("index=2&"));
+    assert_eq!(client.ask(&scan("fix", "c2", &[0], "0.6")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 1));
+}
