Start: who waits for the first list is throttled before a short query timeout is up

Seen by a probe on the version before: with a query timeout of 0.6 s and a silent agent, a scan that was sent as the process began to listen was held at the listener for the whole second of FIRST_LIST, sent on and answered 200 after its client's time was up (the wait at the listener is not seen before the request is read). Cause: start.rs `hold`, a constant that fits query timeouts of over 2 s only; and Due::Accept, which brought both the end of that wait and the old list.

The wait is half of the shortest query timeout at most; a scan that comes then is throttled, which is harmless to try again. The list of the configuration is in force after 1 s of silence as before, on a timer of its own (Due::FirstList).

--- a/crates/dunepond/src/clock.rs
+++ b/crates/dunepond/src/clock.rs
@@ -38,6 +38,8 @@
     ClientMore(usize),
     Agent,
     Accept,
+    /// Discovery has not spoken since the start.
+    FirstList,
     Drain,
     /// What passes and what the disk does is looked over.
     Bodies,
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -327,12 +327,13 @@
                     self.agent.due(now, &mut self.desk.alarms);
                     self.call_discovery();
                 }
-                Due::Accept => {
+                Due::Accept => self.desk.clients.resume(),
+                Due::FirstList => {
                     if let Some(known) = self.known.take() {
                         info!("discovery is silent; the configuration's list is in force until it speaks");
                         self.listed(known);
+                        self.desk.clients.resume();
                     }
-                    self.desk.clients.resume();
                 }
                 Due::Drain => self.drain(),
                 Due::Bodies => self.desk.look_over(),
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -43,8 +43,10 @@
 const ANSWERED: f64 = 0.15;
 /// How long a new process waits for the list: for a call and for the one beside it. What the agent on its machine has
 /// counts as told from its first moment, and what it was left with may be old; but while discovery is down there is
-/// nothing else to go by.
+/// nothing else to go by. Who waits at the listener so long has a time of its own, which is not seen before its
+/// request is read: it waits for this share of the shortest query timeout at most, and is throttled then.
 const FIRST_LIST: f64 = 2.0 * OVERDUE;
+const HELD_AT_MOST: f64 = 0.5;
 /// How soon an address that is still held is tried again.
 const HELD_AGAIN: Duration = Duration::from_millis(20);
 
@@ -170,6 +172,7 @@
         desk.bodies = Some(Bodies::new(bodies.terms.clone(), spool, table_types));
     }
     let timeouts = start.deployment.table_types.iter().map(|t| t.timeout);
+    let held_at_most = HELD_AT_MOST * timeouts.clone().fold(f64::MAX, f64::min);
     let at_most = timeouts.fold(0.0, f64::max).min(COUNTED) + KILLED - ANSWERED;
     let (terms, seed, types) = (start.operator.phases.clone(), start.deployment.seed, desk.table_types());
     let asking = terms.map(|terms| Asking::new(terms, &start.deployment));
@@ -228,7 +231,8 @@
         world.desk.alarms.set(now + keeping.every(), Due::Snapshot);
     }
     if world.known.is_some() {
-        world.desk.clients.hold(now + FIRST_LIST, &mut world.desk.alarms);
+        world.desk.clients.hold(now + FIRST_LIST.min(held_at_most), &mut world.desk.alarms);
+        world.desk.alarms.set(now + FIRST_LIST, Due::FirstList);
     }
     world.agent.call(now, &mut world.desk.alarms);
     info!("listening on {local}");
