Requests that were pipelined into a shutdown are answered before the connection closes

Seen: of three requests written at once before SIGTERM the first was answered with Connection: close and the two behind it, read already, never; a client that sends 120 and takes its answers late did not get all of them. At fault: answer.rs reply() dropped `keep` with the first answer after the first step of the drain, and write() turned the connection to Parting, which throws away what comes and what had come. Now the answer that closes is the one with nothing read behind it, looked for once more at that moment. Past the time by which all is answered no further look is taken, so that who sends on and on is closed. Where the client asked for the close, or where the next request would begin is not known, nothing changes. Tests: two of tests/shutdown.rs failed on the code before, the one in tests/closing.rs with the last look taken out.

--- a/crates/dunepond/src/clients/answer.rs
+++ b/crates/dunepond/src/clients/answer.rs
@@ -3,6 +3,7 @@
 use dunepond_decide::ScanId;
 use tracing::debug;
 
+use super::closing::Last;
 use super::{Clients, Phase, complaint};
 use crate::clock::Alarms;
 use crate::http::{self, Refusal};
@@ -39,7 +40,12 @@
         let Some(client) = self.clients.get_mut(id) else { return };
         // What is left of a body would be taken for the next request.
         client.in_body |= matches!(client.phase, Phase::Raw(_));
-        client.keep &= !self.closing && !client.in_body;
+        client.keep &= !client.in_body;
+        // On the way to the end the last answer closes the connection, and that is not this one where another request
+        // has come behind its: that was taken, too.
+        let closes = self.closing && client.keep && !self.has_more(now, id);
+        let client = &mut self.clients[id];
+        client.keep &= !closes;
         client.out.put(&http::answer(status, body, wait, client.keep));
         client.phase = Phase::Head;
         client.began = now;
@@ -47,6 +53,13 @@
         self.write(now, id, alarms);
     }
 
+    /// Another request, or a part of one, has come.
+    fn has_more(&mut self, now: f64, id: usize) -> bool {
+        let read =
+            self.clients.get(id).is_some_and(|c| c.input.as_ref().is_some_and(|input| !input.is_empty()));
+        read || now < self.until && matches!(self.last_read(now, id), Last::Said)
+    }
+
     pub(super) fn write(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         let Some(client) = self.clients.get_mut(id) else { return };
         if let Err(e) = client.out.flush(&*client.stream) {
--- a/crates/dunepond/tests/closing.rs
+++ b/crates/dunepond/tests/closing.rs
@@ -220,3 +220,19 @@
     door.answered(&mut client, id);
     assert_eq!(client.stream.read(&mut [0]).unwrap(), 0);
 }
+
+/// It was written to a connection that had not been closed.
+#[test]
+fn a_request_in_the_instant_of_the_last_answer_is_taken() {
+    let mut door = Door::with(64);
+    let (mut client, id) = door.enters();
+    door.asks(&mut client, id);
+    door.clients.close_with_answers();
+    door.sends(&mut client, id, &request());
+    door.clients.reply(door.now, id, 200, "{}", 0.0, &mut door.alarms);
+    assert!(!client.answer().unwrap().head.contains("Connection: close"));
+    assert_eq!(door.settles(), [id]);
+    door.clients.reply(door.now, id, 200, "{}", 0.0, &mut door.alarms);
+    assert!(client.answer().unwrap().head.contains("Connection: close"));
+    assert_eq!(client.stream.read(&mut [0]).unwrap(), 0);
+}
--- a/crates/dunepond/tests/shutdown.rs
+++ b/crates/dunepond/tests/shutdown.rs
@@ -1,7 +1,7 @@
 //! What crosses the way from SIGTERM to the end, and signals that come at a bad moment.
 
 use std::fs::{File, OpenOptions};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::thread;
@@ -31,6 +31,11 @@
     until(broker, "closing with answers", |answer| answer.head.contains("Connection: close"));
 }
 
+/// Waits until the connection is at its end; how it ends.
+fn end_of(client: &mut Client) -> std::io::Result<usize> {
+    client.stream.read_to_end(&mut Vec::new())
+}
+
 fn before(nodes: &[Node], change: impl FnOnce(&mut Value)) -> (Broker, List) {
     let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
     let list = List::start(lines.clone());
@@ -39,6 +44,12 @@
     (Broker::start(&config), list)
 }
 
+fn deadlines(config: &mut Value, ms: f64) {
+    for service in config["settings"]["services"].as_array_mut().unwrap() {
+        (service["deadlineMs"], service["aimMs"]) = (json!(ms), json!(0.6 * ms));
+    }
+}
+
 /// A pipe in place of a file: whoever opens it waits for the other side.
 fn fifo(path: &Path) {
     let _ = std::fs::remove_file(path);
@@ -86,6 +97,60 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+/// They were written whole to a connection that stays open: all are taken.
+#[test]
+fn requests_that_were_pipelined_into_a_shutdown_are_all_answered() {
+    let nodes = [Node::start("s-0")];
+    nodes[0].behave(Manner::After(900));
+    // With time for what waits behind it.
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 3000.0));
+    let mut client = Client::to(&broker);
+    client.send(&["c1", "c2", "c3"].map(|id| scan("find", id, &[1], "3.0")).concat());
+    nodes[0].wait_for('A', 1);
+    nodes[0].behave(Manner::Serve);
+    told_to_end(&broker);
+    closing(&broker);
+    let answers: Vec<_> = (0..3).map_while(|_| client.answer()).collect();
+    let seen: Vec<_> =
+        answers.iter().map(|answer| (answer.status, answer.head.contains("Connection: close"))).collect();
+    assert_eq!(seen, [(200, false), (200, false), (200, true)]);
+    assert_eq!(end_of(&mut client).unwrap(), 0);
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
+/// More than the connection takes was answered or asked when it was told to end.
+#[test]
+fn who_takes_answers_late_gets_all_of_them_past_a_shutdown() {
+    let nodes = [Node::start("s-0")];
+    let (mut broker, _list) = before(&nodes, |_| {});
+    let mut client = Client::to(&broker);
+    let text = "x".repeat(40_000);
+    let requests: Vec<_> = (0..120)
+        .map(|i| {
+            let body = json!({"buckets": [{"bucket": 1, "part": 1.0}], "body": text}).to_string();
+            let head = format!("POST /find HTTP/1.1\r\nX-Call-Id: c{i}\r\nX-Budget: 3.0\r\n");
+            format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+        })
+        .collect();
+    let mut sender = client.stream.try_clone().unwrap();
+    let sending = thread::spawn(move || sender.write_all(requests.concat().as_bytes()).is_ok());
+    nodes[0].wait_for('A', 20);
+    told_to_end(&broker);
+    closing(&broker);
+    let mut taken = 0;
+    while let Some(answer) = client.answer() {
+        assert_eq!((answer.status, answer.body["finished"].clone()), (200, json!(true)));
+        taken += 1;
+        if answer.head.contains("Connection: close") {
+            break;
+        }
+    }
+    assert_eq!((sending.join().unwrap(), taken), (true, 120));
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
 #[test]
 fn a_second_sigterm_changes_nothing() {
     let nodes = [Node::start("s-0")];
