The drain's steps follow from the page and the settings, each also where one was missed

Seen: a broker that stood still from before 0.45 s to past 0.65 s after SIGTERM kept its connections alive after their answers, and they went on being used up to the kill: close_with_answers was called by the first step alone, and the next ones took it as done. With query timeouts of 0.1 s the kill comes at 0.8 s, and a connection that had not asked was kept until 1 s; with 0.5 s (kill at 1.2 s) half a request held the process for 2.0 s and a client that stays after its last answer for 1.9 s, so that the kill found it, and what it keeps of its state was not written. At fault: world/ending.rs, whose times were fitted and went by no query timeout, and the linger and the time to ask in clients/, which did not know of the kill. Now each constant is derived from a term of the protocol page, named beside it, every step is bounded by the time by which all is answered, and so are lingering and asking. Where there is no room for who waits at the listener, the next try comes with the room and not every 20 ms. A connection whose answer is taken only after resting ones were closed is closed with it. New: who has connected may ask until 1.05 s, before 1 s. Ruled out by stories that passed before: SIGTERM with a scan being read, out, and out again after a fault. Tests (tests/shutdown.rs): what_stood_still, the connected and half cases of it_ends_before_the_kill and who_stays failed on the code before.

--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -20,6 +20,9 @@
 /// The same for one that was answered in the middle of a body: closed before it has looked for its answer, the
 /// connection would take the answer back.
 const PARTING_BODY: f64 = 5.0;
+/// On the way to the end who is parted with may stay for so long after all is answered; the kill comes later.
+const STAYS: f64 = 0.05;
+
 /// What the last look at a connection has shown.
 pub(super) enum Last {
     /// Something has come, and will be read in its turn.
@@ -65,6 +68,20 @@
         }
     }
 
+    /// What has come from those that are over a request is to be read before `close_asking`.
+    pub fn hear_asking(&mut self) {
+        for id in self.asking.values().copied().collect::<Vec<_>>() {
+            self.hear_out(id);
+        }
+    }
+
+    /// Nobody may be over a request any longer.
+    pub fn close_asking(&mut self, now: f64, alarms: &mut Alarms) {
+        for id in self.asking.values().copied().collect::<Vec<_>>() {
+            self.slow(now, id, alarms);
+        }
+    }
+
     fn unasked(&self, rests: bool) -> Vec<usize> {
         let resting = |c: &Client| c.alarm.is_some_and(|key| self.resting.contains_key(&key));
         let unasked = self.clients.iter().filter(|(_, c)| c.unasked() && (!rests || resting(c)));
@@ -133,7 +150,8 @@
         client.phase = Phase::Parting;
         client.input = None;
         let time = if client.in_body { PARTING_BODY } else { PARTING };
-        let key = self.set(id, now + time, alarms);
+        // On the way to the end nobody is waited for that is owed nothing.
+        let key = self.set(id, (now + time).min(self.until + STAYS), alarms);
         self.parting.insert(key, id);
         self.make_room(alarms);
     }
--- a/crates/dunepond/src/clients/time.rs
+++ b/crates/dunepond/src/clients/time.rs
@@ -16,7 +16,8 @@
 impl Clients {
     /// From now on its time to ask runs.
     pub(super) fn asks(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
-        let key = self.set(id, now + ASKS, alarms);
+        // On the way to the end there may be less time.
+        let key = self.set(id, (now + ASKS).min(self.until), alarms);
         self.asking.insert(key, id);
     }
 
--- a/crates/dunepond/src/world/ending.rs
+++ b/crates/dunepond/src/world/ending.rs
@@ -5,14 +5,28 @@
 use super::World;
 use crate::clock::Due;
 
-/// After SIGTERM new connections come for a while, and clients go on using those that they have. From the first time on
-/// each closes with its answer; by the second no new one comes any more, and those on which nothing is asked again
-/// are closed; by the third so is who has connected and not asked anything yet.
-const STILL_USED: f64 = 0.45;
-const STILL_COMING: f64 = 0.65;
-const STILL_ASKING: f64 = 1.0;
-/// While there is no room for who waits at a listener.
-const ROOM: f64 = 0.02;
+/// By the protocol page new connections go on coming for up to so long after SIGTERM, and its time limits are longer by
+/// so much.
+const COMING: f64 = 0.4;
+const SLACK: f64 = 0.05;
+/// By the same page the process may be killed so long after the longest query timeout, of which no more than this
+/// counts; and a request that comes later than that after SIGTERM is lost if the kill finds it unanswered.
+const KILLED: f64 = 0.7;
+const COUNTED: f64 = 3.0;
+/// How much sooner than the kill each request has its answer: what one turn of the loop takes, and the way of the answer.
+const ANSWERED: f64 = 0.15;
+
+/// From the first on each connection closes with its answer, as nobody new comes any more; by the second those close on
+/// which nothing is asked again; by the third also those of who has connected and not asked yet, which had as long
+/// for that as new connections come. None is later than the time by which all is answered.
+const STILL_USED: f64 = COMING + SLACK;
+const STILL_COMING: f64 = KILLED - SLACK;
+const STILL_ASKING: f64 = STILL_COMING + COMING;
+
+/// How long after SIGTERM a request may take.
+pub(super) fn at_most(timeouts: impl Iterator<Item = f64>) -> f64 {
+    timeouts.fold(0.0, f64::max).min(COUNTED) + KILLED - ANSWERED
+}
 
 impl World {
     pub(super) fn told_to_end(&mut self) {
@@ -26,23 +40,43 @@
         }
     }
 
-    /// On the way to the end: first all is served as before, then connections close with their answers,
-    /// then no new one is taken.
+    /// On the way to the end: first all is served as before, then connections close with their answers, then no new
+    /// one is taken. Each step may be the first that is seen, as the process may have stood still.
     pub(super) fn drain(&mut self) {
-        let now = self.desk.now;
+        let (now, at_most) = (self.desk.now, self.at_most);
         let since = now - self.told_to_end.unwrap_or(now);
-        if since < STILL_USED {
-            self.desk.alarms.set(now + STILL_USED - since, Due::Drain);
-        } else if since < STILL_COMING {
+        let next = if since < STILL_USED.min(at_most) {
+            STILL_USED
+        } else if since < STILL_COMING.min(at_most) {
             self.desk.clients.close_with_answers();
-            self.desk.alarms.set(now + STILL_COMING - since, Due::Drain);
+            STILL_COMING
         } else if !self.over {
+            self.desk.clients.close_with_answers();
             self.over = self.desk.clients.close_listeners(now, &mut self.desk.alarms);
             self.desk.clients.close_resting(now, &mut self.desk.alarms);
-            let next = if self.over { (STILL_ASKING - since).max(ROOM) } else { ROOM };
-            self.desk.alarms.set(now + next, Due::Drain);
-        } else {
+            if !self.over {
+                // Once somebody has made room.
+                return;
+            }
+            STILL_ASKING
+        } else if since < at_most {
             self.desk.clients.close_unasked(now, &mut self.desk.alarms);
+            at_most
+        } else {
+            self.desk.clients.hear_asking();
+            self.settle();
+            return self.desk.clients.close_asking(now, &mut self.desk.alarms);
+        };
+        let left = next.min(at_most) - since;
+        self.desk.alarms.set(now + left.max(0.0), Due::Drain);
+    }
+
+    /// Who waited at a listener may be taken in, and the listener closed.
+    pub(super) fn make_room_to_end(&mut self) {
+        if self.told_to_end.is_some_and(|told| self.desk.now - told >= STILL_COMING.min(self.at_most))
+            && !self.over
+        {
+            self.drain();
         }
     }
 }
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -324,6 +324,7 @@
                         self.listed(known);
                     }
                     self.desk.clients.resume();
+                    self.make_room_to_end();
                 }
                 Due::Drain => self.drain(),
                 Due::Bodies => self.desk.look_over(),
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -16,7 +16,7 @@
 use dunepond_work::{Pool as WorkPool, Scheduler};
 use tracing::info;
 
-use super::World;
+use super::{World, ending};
 use crate::api::Door;
 use crate::asking::Asking;
 use crate::background::Background;
@@ -33,11 +33,6 @@
 use crate::servers::Servers;
 use crate::turn::{Handle, Ready, Turn};
 
-/// How soon after SIGTERM the process may be killed: so long after the longest query timeout, of which no more than
-/// this counts; and how much sooner than that each request has its answer.
-const KILLED: f64 = 0.7;
-const COUNTED: f64 = 3.0;
-const ANSWERED: f64 = 0.15;
 /// How long a new process waits for the list. What the agent on its machine has counts as told from its first moment,
 /// and what it was left with may be old; but while discovery is down there is nothing else to go by.
 const FIRST_LIST: f64 = 1.0;
@@ -144,7 +139,7 @@
         desk.bodies = Some(Bodies::new(bodies.terms.clone(), spool, table_types));
     }
     let timeouts = start.deployment.table_types.iter().map(|t| t.timeout);
-    let at_most = timeouts.fold(0.0, f64::max).min(COUNTED) + KILLED - ANSWERED;
+    let at_most = ending::at_most(timeouts);
     let (terms, seed, types) = (start.operator.phases.clone(), start.deployment.seed, desk.table_types());
     let asking = terms.map(|terms| Asking::new(terms, &start.deployment));
     desk.questions = asking.is_some().then_some(questions);
--- a/crates/dunepond/tests/shutdown.rs
+++ b/crates/dunepond/tests/shutdown.rs
@@ -151,6 +151,63 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+/// It missed the first step of the way to its end.
+#[test]
+fn what_stood_still_past_the_first_step_closes_with_its_answers_all_the_same() {
+    let nodes = [Node::start("s-0")];
+    let (mut broker, _list) = before(&nodes, |_| {});
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("find", "c1", &[1], "2.0")).status, 200);
+    let start = Instant::now();
+    told_to_end(&broker);
+    broker.signal("STOP");
+    client.send(&scan("find", "c2", &[1], "2.0"));
+    thread::sleep(Duration::from_millis(800).saturating_sub(start.elapsed()));
+    broker.signal("CONT");
+    let answer = client.answer().unwrap();
+    assert_eq!((answer.status, answer.head.contains("Connection: close")), (200, true));
+    assert!(client.answer().is_none());
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
+/// The kill comes by the longest query timeout, so sooner where that is short.
+#[rstest]
+#[case::connected("", 0.1, 0.85)]
+#[case::resting(READY, 0.1, 0.85)]
+#[case::half("POST /find HTTP/1.1\r\nX-Call-Id: c0\r\nContent-Length: 9\r\n\r\nhalf", 0.5, 1.8)]
+fn it_ends_before_the_kill_where_query_timeouts_are_short(
+    #[case] said: &str,
+    #[case] timeout: f64,
+    #[case] ended: f64,
+) {
+    let nodes = [Node::start("s-0")];
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 1000.0 * timeout));
+    let mut client = Client::to(&broker);
+    client.send(said);
+    told_to_end(&broker);
+    let start = Instant::now();
+    assert!(end_of(&mut client).is_ok());
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs_f64(ended), "{:?}", start.elapsed());
+}
+
+/// All it took is answered: there is nothing to wait for up to the kill.
+#[test]
+fn who_stays_after_its_last_answer_does_not_hold_the_end_up() {
+    let nodes = [Node::start("s-0")];
+    nodes[0].behave(Manner::Hang);
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 500.0));
+    let mut client = Client::to(&broker);
+    told_to_end(&broker);
+    let start = Instant::now();
+    closing(&broker);
+    assert!(client.ask(&scan("fix", "c1", &[1], "3.0")).status >= 429);
+    assert_eq!(broker.exit_code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs_f64(1.7), "{:?}", start.elapsed());
+}
+
 #[test]
 fn a_second_sigterm_changes_nothing() {
     let nodes = [Node::start("s-0")];
@@ -237,3 +294,33 @@
     assert_eq!(client.ask(&scan("find", "c2", &[1], "3.0")).status, 200);
     assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (1, 1));
 }
+
+/// Read in part, out at a node, and out again after a fault.
+#[rstest]
+#[case::reading(Manner::Serve, Manner::Serve)]
+#[case::out(Manner::After(700), Manner::After(700))]
+#[case::repeating(Manner::Say("fault"), Manner::After(700))]
+fn a_scan_under_way_is_answered_past_a_sigterm(#[case] one: Manner, #[case] other: Manner) {
+    let nodes = [Node::start("s-0"), Node::start("s-1")];
+    nodes[0].behave(one);
+    nodes[1].behave(other);
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 3000.0));
+    let requests: Vec<_> = (0..4).map(|i| scan("find", &format!("c{i}"), &[1], "3.0")).collect();
+    let mut clients: Vec<_> = requests.iter().map(|_| Client::to(&broker)).collect();
+    let sent = |request: &str| if one == Manner::Serve { request.len() / 2 } else { request.len() };
+    clients.iter_mut().zip(&requests).for_each(|(c, request)| c.send(&request[..sent(request)]));
+    if one != Manner::Serve {
+        nodes[0].wait_for('A', 1);
+        nodes[1].wait_for('A', if one == other { 1 } else { 4 });
+    }
+    told_to_end(&broker);
+    closing(&broker);
+    clients.iter_mut().zip(&requests).for_each(|(c, request)| c.send(&request[sent(request)..]));
+    for client in &mut clients {
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status, answer.head.contains("Connection: close")), (200, true));
+        assert!(client.answer().is_none());
+    }
+    drop(clients);
+    assert_eq!(broker.exit_code(), Some(0));
+}
