--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -327,7 +327,10 @@
                     self.agent.due(now, &mut self.desk.alarms);
                     self.call_discovery();
                 }
-                Due::Accept => self.desk.clients.resume(),
+                Due::Accept => {
+                    self.desk.clients.resume();
+                    self.make_room_to_end();
+                }
                 Due::FirstList => {
                     if let Some(known) = self.known.take() {
                         info!("discovery is silent; the configuration's list is in force until it speaks");
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -19,7 +19,7 @@
 use dunepond_work::{Pool as WorkPool, Scheduler};
 use tracing::{info, warn};
 
-use super::World;
+use super::{World, ending};
 use crate::api::Door;
 use crate::asking::Asking;
 use crate::background::Background;
@@ -36,11 +36,6 @@
 use crate::servers::Servers;
 use crate::turn::{Handle, Ready, Turn};
 
-/// How soon after SIGTERM the process may be killed: so long after the longest query timeout, of which no more than
-/// this counts; and how much sooner than that each request has its answer.
-const KILLED: f64 = 0.7;
-const COUNTED: f64 = 3.0;
-const ANSWERED: f64 = 0.15;
 /// How long a new process waits for the list: for a call and for the one beside it. What the agent on its machine has
 /// counts as told from its first moment, and what it was left with may be old; but while discovery is down there is
 /// nothing else to go by. Who waits at the listener so long has a time of its own, which is not seen before its
@@ -109,8 +104,7 @@
     loop {
         match clients::listen(address) {
             Err(e)
-                if e.kind() == io::ErrorKind::AddrInUse
-                    && since.elapsed().as_secs_f64() < COUNTED + KILLED =>
+                if e.kind() == io::ErrorKind::AddrInUse && since.elapsed().as_secs_f64() < ending::LIVES =>
             {
                 if !std::mem::replace(&mut waits, true) {
                     warn!("{what}: {address}: {e}; waiting for whoever holds it");
@@ -173,7 +167,7 @@
     }
     let timeouts = start.deployment.table_types.iter().map(|t| t.timeout);
     let held_at_most = HELD_AT_MOST * timeouts.clone().fold(f64::MAX, f64::min);
-    let at_most = timeouts.fold(0.0, f64::max).min(COUNTED) + KILLED - ANSWERED;
+    let at_most = ending::at_most(timeouts);
     let (terms, seed, types) = (start.operator.phases.clone(), start.deployment.seed, desk.table_types());
     let asking = terms.map(|terms| Asking::new(terms, &start.deployment));
     desk.questions = asking.is_some().then_some(questions);
--- a/crates/dunepond/tests/shutdown.rs
+++ b/crates/dunepond/tests/shutdown.rs
@@ -1,7 +1,7 @@
 //! What crosses the way from SIGTERM to the end, and signals that come at a bad moment.
 
 use std::fs::{File, OpenOptions};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::thread;
@@ -31,6 +31,11 @@
     until(broker, "closing with answers", |answer| answer.head.contains("Connection: close"));
 }
 
+/// Waits until the connection is at its end; how it ends.
+fn end_of(client: &mut Client) -> std::io::Result<usize> {
+    client.stream.read_to_end(&mut Vec::new())
+}
+
 fn before(nodes: &[Node], change: impl FnOnce(&mut Value)) -> (Broker, List) {
     let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
     let list = List::start(lines.clone());
@@ -39,6 +44,12 @@
     (Broker::start(&config), list)
 }
 
+fn deadlines(config: &mut Value, ms: f64) {
+    for service in config["settings"]["services"].as_array_mut().unwrap() {
+        (service["deadlineMs"], service["aimMs"]) = (json!(ms), json!(0.6 * ms));
+    }
+}
+
 /// A pipe in place of a file: whoever opens it waits for the other side.
 fn fifo(path: &Path) {
     let _ = std::fs::remove_file(path);
@@ -86,6 +97,117 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+/// They were written whole to a connection that stays open: all are taken.
+#[test]
+fn requests_that_were_pipelined_into_a_shutdown_are_all_answered() {
+    let nodes = [Node::start("s-0")];
+    nodes[0].behave(Manner::After(900));
+    // With time for what waits behind it.
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 3000.0));
+    let mut client = Client::to(&broker);
+    client.send(&["c1", "c2", "c3"].map(|id| scan("find", id, &[1], "3.0")).concat());
+    nodes[0].wait_for('A', 1);
+    nodes[0].behave(Manner::Serve);
+    told_to_end(&broker);
+    closing(&broker);
+    let answers: Vec<_> = (0..3).map_while(|_| client.answer()).collect();
+    let seen: Vec<_> =
+        answers.iter().map(|answer| (answer.status, answer.head.contains("Connection: close"))).collect();
+    assert_eq!(seen, [(200, false), (200, false), (200, true)]);
+    assert_eq!(end_of(&mut client).unwrap(), 0);
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
+/// More than the connection takes was answered or asked when it was told to end.
+#[test]
+fn who_takes_answers_late_gets_all_of_them_past_a_shutdown() {
+    let nodes = [Node::start("s-0")];
+    let (mut broker, _list) = before(&nodes, |_| {});
+    let mut client = Client::to(&broker);
+    let text = "x".repeat(40_000);
+    let requests: Vec<_> = (0..120)
+        .map(|i| {
+            let body = json!({"buckets": [{"bucket": 1, "part": 1.0}], "body": text}).to_string();
+            let head = format!("POST /find HTTP/1.1\r\nX-Call-Id: c{i}\r\nX-Budget: 3.0\r\n");
+            format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+        })
+        .collect();
+    let mut sender = client.stream.try_clone().unwrap();
+    let sending = thread::spawn(move || sender.write_all(requests.concat().as_bytes()).is_ok());
+    nodes[0].wait_for('A', 20);
+    told_to_end(&broker);
+    closing(&broker);
+    let mut taken = 0;
+    while let Some(answer) = client.answer() {
+        assert_eq!((answer.status, answer.body["finished"].clone()), (200, json!(true)));
+        taken += 1;
+        if answer.head.contains("Connection: close") {
+            break;
+        }
+    }
+    assert_eq!((sending.join().unwrap(), taken), (true, 120));
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
+/// It missed the first step of the way to its end.
+#[test]
+fn what_stood_still_past_the_first_step_closes_with_its_answers_all_the_same() {
+    let nodes = [Node::start("s-0")];
+    let (mut broker, _list) = before(&nodes, |_| {});
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("find", "c1", &[1], "2.0")).status, 200);
+    let start = Instant::now();
+    told_to_end(&broker);
+    broker.signal("STOP");
+    client.send(&scan("find", "c2", &[1], "2.0"));
+    thread::sleep(Duration::from_millis(800).saturating_sub(start.elapsed()));
+    broker.signal("CONT");
+    let answer = client.answer().unwrap();
+    assert_eq!((answer.status, answer.head.contains("Connection: close")), (200, true));
+    assert!(client.answer().is_none());
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+}
+
+/// The kill comes by the longest query timeout, so sooner where that is short.
+#[rstest]
+#[case::connected("", 0.1, 0.85)]
+#[case::resting(READY, 0.1, 0.85)]
+#[case::half("POST /find HTTP/1.1\r\nX-Call-Id: c0\r\nContent-Length: 9\r\n\r\nhalf", 0.5, 1.8)]
+fn it_ends_before_the_kill_where_query_timeouts_are_short(
+    #[case] said: &str,
+    #[case] timeout: f64,
+    #[case] ended: f64,
+) {
+    let nodes = [Node::start("s-0")];
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 1000.0 * timeout));
+    let mut client = Client::to(&broker);
+    client.send(said);
+    told_to_end(&broker);
+    let start = Instant::now();
+    assert!(end_of(&mut client).is_ok());
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs_f64(ended), "{:?}", start.elapsed());
+}
+
+/// All it took is answered: there is nothing to wait for up to the kill.
+#[test]
+fn who_stays_after_its_last_answer_does_not_hold_the_end_up() {
+    let nodes = [Node::start("s-0")];
+    nodes[0].behave(Manner::Hang);
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 500.0));
+    let mut client = Client::to(&broker);
+    told_to_end(&broker);
+    let start = Instant::now();
+    closing(&broker);
+    assert!(client.ask(&scan("fix", "c1", &[1], "3.0")).status >= 429);
+    assert_eq!(broker.exit_code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs_f64(1.7), "{:?}", start.elapsed());
+}
+
 #[test]
 fn a_second_sigterm_changes_nothing() {
     let nodes = [Node::start("s-0")];
@@ -172,3 +294,33 @@
     assert_eq!(client.ask(&scan("find", "c2", &[1], "3.0")).status, 200);
     assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (1, 1));
 }
+
+/// Read in part, out at a node, and out again after a fault.
+#[rstest]
+#[case::reading(Manner::Serve, Manner::Serve)]
+#[case::out(Manner::After(700), Manner::After(700))]
+#[case::repeating(Manner::Say("fault"), Manner::After(700))]
+fn a_scan_under_way_is_answered_past_a_sigterm(#[case] one: Manner, #[case] other: Manner) {
+    let nodes = [Node::start("s-0"), Node::start("s-1")];
+    nodes[0].behave(one);
+    nodes[1].behave(other);
+    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 3000.0));
+    let requests: Vec<_> = (0..4).map(|i| scan("find", &format!("c{i}"), &[1], "3.0")).collect();
+    let mut clients: Vec<_> = requests.iter().map(|_| Client::to(&broker)).collect();
+    let sent = |request: &str| if one == Manner::Serve { request.len() / 2 } else { request.len() };
+    clients.iter_mut().zip(&requests).for_each(|(c, request)| c.send(&request[..sent(request)]));
+    if one != Manner::Serve {
+        nodes[0].wait_for('A', 1);
+        nodes[1].wait_for('A', if one == other { 1 } else { 4 });
+    }
+    told_to_end(&broker);
+    closing(&broker);
+    clients.iter_mut().zip(&requests).for_each(|(c, request)| c.send(&request[sent(request)..]));
+    for client in &mut clients {
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status, answer.head.contains("Connection: close")), (200, true));
+        assert!(client.answer().is_none());
+    }
+    drop(clients);
+    assert_eq!(broker.exit_code(), Some(0));
+}
