--- a/crates/dunepond/src/clients/accept.rs
+++ b/crates/dunepond/src/clients/accept.rs
@@ -77,6 +77,13 @@
         true
     }
 
+    /// Somebody makes room for connections of our own; false if all are owed an answer.
+    pub fn give_way(&mut self, now: f64, alarms: &mut Alarms) -> bool {
+        let least = self.least(now);
+        least.map(|id| self.end(id, Ending::Unused, alarms));
+        least.is_some()
+    }
+
     fn enter(
         &mut self,
         now: f64,
--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -1,10 +1,10 @@
-//! Discovery's calls broken at every moment, and whole lists that leave nodes out.
+//! Discovery's calls broken at every moment, whole lists that leave nodes out, and a start without port or descriptors.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
+use dunepond_lab::store::{Broker, Client, List, Node, config, launch, scan};
 use rstest::rstest;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -321,6 +321,85 @@
     assert_eq!(came.read(&mut [0; 100]).unwrap(), 0);
 }
 
+/// So many descriptors as a broker may have here, and more idle clients than that: they fill it again and again.
+const DESCRIPTORS: usize = 40;
+const CROWD: usize = 300;
+
+/// A broker that may have no more descriptors than it has, although it was told that it may have far more.
+fn crowded(nodes: &[Node; 2]) -> (Broker, Agent, Call, Client, Vec<TcpStream>) {
+    let agent = Agent::start();
+    let known = vec![nodes[0].line("ready")];
+    let broker = Broker::start_with_descriptors(DESCRIPTORS, &config(agent.address(), known));
+    let (mut call, _) = agent.asked();
+    call.answer(&list(1, vec![nodes[0].line("ready")]));
+    call.asked();
+    let first = Client::to(&broker);
+    let crowd = (0..CROWD).map(|_| TcpStream::connect(broker.address).unwrap()).collect();
+    let folder = format!("/proc/{}/fd", broker.pid());
+    while std::fs::read_dir(&folder).unwrap().count() < DESCRIPTORS {
+        std::thread::yield_now();
+    }
+    (broker, agent, call, first, crowd)
+}
+
+/// Discovery goes down while clients that ask nothing hold all descriptors, and more of them wait to be taken in.
+#[test]
+fn without_descriptors_a_call_to_discovery_still_finds_one() {
+    let nodes = nodes();
+    let (broker, agent, call, first, crowd) = crowded(&nodes);
+    let since = Instant::now();
+    drop(call);
+    let (mut call, path) = agent.asked();
+    assert_eq!(path, "/v1/endpoints");
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    call.answer(&drained(2, &nodes));
+    assert!(call.asked().contains("index=2&"));
+    drop((first, crowd));
+    only_the_second_serves(&broker, &nodes);
+}
+
+/// Nor may the nodes be out of reach for them.
+#[test]
+fn without_descriptors_a_part_still_finds_a_connection_to_its_node() {
+    let nodes = nodes();
+    let (_broker, _agent, _call, mut first, _crowd) = crowded(&nodes);
+    assert_eq!(first.ask(&scan("fix", "c1", &[0], "2.0")).status, 200);
+    assert_eq!(nodes[0].frames('A').len(), 1);
+}
+
+/// An old process may still be on its way to its end when the new one begins: until it is killed at the latest.
+#[test]
+fn a_port_that_an_old_process_still_holds_is_waited_for() {
+    let nodes = nodes();
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = held.local_addr().unwrap();
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["listen"] = json!(at.to_string());
+    let (mut child, file) = launch(&config);
+    let mut lines = BufReader::new(child.stderr.as_mut().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("GW_LISTEN")), "it says what it waits for");
+    drop(held);
+    assert!(lines.any(|line| line.contains("listening on")));
+    assert_eq!(Client::dial(at).ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(file).unwrap();
+}
+
+#[test]
+fn a_port_that_stays_held_is_named_and_ends_the_start() {
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config("127.0.0.1:1".parse().unwrap(), vec![]);
+    config["listen"] = json!(held.local_addr().unwrap().to_string());
+    let (mut child, file) = launch(&config);
+    let mut said = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+    assert!(!child.wait().unwrap().success());
+    std::fs::remove_file(file).unwrap();
+    assert!(said.lines().last().is_some_and(|line| line.contains("GW_LISTEN")), "{said}");
+}
+
 /// Nothing known and nobody to ask: it says so, and is ready with the first list.
 #[rstest]
 #[case::no_list(Value::Null)]
@@ -341,3 +420,22 @@
     assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
     assert!(since.elapsed() < IN_TIME, "{:?}", since.elapsed());
 }
+
+/// Its port takes connections in from its first moment, whoever is told of it: who asks there has a time of its own, and
+/// is told to come again before that is up, by an agent that stays silent or not.
+#[test]
+fn a_scan_before_the_first_list_is_throttled_in_its_time() {
+    let nodes = nodes();
+    let agent = Agent::start();
+    let mut config = config(agent.address(), vec![nodes[0].line("ready")]);
+    config["settings"]["services"][1]["deadlineMs"] = json!(600.0);
+    config["settings"]["services"][1]["aimMs"] = json!(300.0);
+    let broker = Broker::start(&config);
+    let (mut call, _) = agent.asked();
+    let mut client = Client::to(&broker);
+    assert_eq!(client.ask(&scan("fix", "c1", &[0], "0.6")).status, 429);
+    call.answer(&drained(2, &nodes));
+    assert!(call.asked().contains("index=2&"));
+    assert_eq!(client.ask(&scan("fix", "c2", &[0], "0.6")).status, 200);
+    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 1));
+}
