Nothing waits framed for its connection, and nothing goes out past its window or time

Seen by probe, a node led by hand that does not read (small receive buffer):

- Up to 64 KiB of frames were put together in one go (`Link::write`, `while self.out.waiting() < SIZE`) and stayed framed while the connection took nothing.
A frame of which not a byte had gone out told its node (`d=`) of the time that was left when it was framed, went on to a node that had begun to drain meanwhile, and could be taken back only by closing the connection, with the part before it.
Now frames that have not begun are taken back when the connection takes no more (`unframe`), and framed anew once they can go out.
- `Parcel::until` was looked at when a part was ordered, not when it went out: a keyed repeat that waited for a connection that came up late was sent after its window, and a part after its scan's time, with d=1.

Ruled out: the module's own check of the window is a tick on the safe side, and reckons from the first order; the time between order and first write on a connection that is up is one turn.

Each taken out, the new tests fail: without `unframe` three (the time told, the drain, the client that goes), with `lapses` at infinity two (the keyed repeat, the scan whose time is over), with the window left out one.

--- a/crates/dunepond/src/buffers.rs
+++ b/crates/dunepond/src/buffers.rs
@@ -98,6 +98,11 @@
         count
     }
 
+    /// Takes back so many of the bytes that were put last.
+    fn take_back(&mut self, count: usize) {
+        self.to -= count;
+    }
+
     /// One read behind what it holds; `Ok(0)` is the end of the stream, as there is always room.
     pub fn read_from(&mut self, mut stream: impl Read) -> io::Result<usize> {
         if self.to == SIZE {
@@ -213,6 +218,35 @@
         self.chain.push_back(Piece::Body(reader));
     }
 
+    /// Takes back what was put from a place on, as far as nothing of it has been written: `from` lies between two
+    /// frames. Gives back the body that was in it.
+    pub fn take_back(&mut self, from: u64) -> Option<Reader> {
+        let mut body = None;
+        while self.put > from.max(self.written) {
+            let Some(last) = self.chain.back_mut() else { break };
+            let over = self.put - from.max(self.written);
+            let held = match last {
+                Piece::Own(buffer) => buffer.held().len() as u64,
+                Piece::Text(text, at) => (text.len() - *at) as u64,
+                Piece::Few(bytes) => bytes.len() as u64,
+                Piece::Body(reader) => reader.left(),
+            };
+            if let Piece::Own(buffer) = last
+                && held > over
+            {
+                buffer.take_back(over as usize);
+                self.put -= over;
+                break;
+            }
+            self.put -= held;
+            if let Some(Piece::Body(reader)) = self.chain.pop_back() {
+                self.bodies -= 1;
+                body = Some(reader);
+            }
+        }
+        body
+    }
+
     /// The place of the last byte put so far.
     pub fn end(&self) -> u64 {
         self.put
--- a/crates/dunepond/src/desk/agreed.rs
+++ b/crates/dunepond/src/desk/agreed.rs
@@ -6,7 +6,7 @@
 use dunepond_fleet::Act;
 use tracing::debug;
 
-use super::Desk;
+use super::{Desk, may_have_run};
 use crate::fleet::{Began, proved};
 use crate::servers::Parcel;
 
@@ -29,7 +29,7 @@
     pub fn ended(&mut self, part: usize, end: End) {
         if let Some((out, ran)) = self.tried.get_mut(part) {
             *out = out.saturating_sub(1);
-            *ran |= !matches!(end, End::NotSent | End::NoConnection | End::Full);
+            *ran |= may_have_run(end);
         }
     }
 }
--- a/crates/dunepond/src/desk/host.rs
+++ b/crates/dunepond/src/desk/host.rs
@@ -31,8 +31,9 @@
         let gone = matches!(text, Text::Gone);
         let table_type = in_hand.table_type;
         let began = in_hand.agreed.as_ref().map(Agreed::began);
-        let parcel = Parcel { scan, part, shot, id, seg, table_type, until, text, reader, began };
-        let late = in_hand.over || gone || shot >= self.dispatch_cap || until <= self.now;
+        let lapses = until.min(in_hand.ran[part] + self.windows[table_type]);
+        let parcel = Parcel { scan, part, shot, id, seg, table_type, until, lapses, text, reader, began };
+        let late = in_hand.over || gone || shot >= self.dispatch_cap || lapses <= self.now;
         if !late && !self.may(node, &parcel) {
             return self.servers.back.push_back(parcel.unsent(node, End::NotSent));
         }
--- a/crates/dunepond/src/desk/mod.rs
+++ b/crates/dunepond/src/desk/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use dunepond_bodies::{BodyId, Reason};
-use dunepond_decide::{Deployment, NodeId, ScanId};
+use dunepond_decide::{Deployment, End, NodeId, Repeat, ScanId};
 use dunepond_phases::{Left, Unanswered};
 use dunepond_settings::Bounds;
 
@@ -46,6 +46,8 @@
     left_out: Vec<Left>,
     /// The nodes of each part's dispatches.
     shots: Vec<Vec<NodeId>>,
+    /// When the first of each part's dispatches was sent that may have run; never, as long as there is none.
+    ran: Vec<f64>,
     ends_at: f64,
     alarm: Option<Key>,
     customer: usize,
@@ -80,8 +82,10 @@
     dispatch_cap: usize,
     /// The longest wait that a throttling reply may name.
     longest_wait: f64,
-    /// The query timeouts of the table types.
+    /// The query timeouts of the table types, and for how long after a dispatch that may have run another may go out: with
+    /// the margin that the module keeps.
     timeouts: Vec<f64>,
+    windows: Vec<f64>,
     scans: HashMap<ScanId, InHand>,
     call_ids: HashSet<String>,
     last: ScanId,
@@ -101,6 +105,18 @@
     }
 }
 
+fn may_have_run(end: End) -> bool {
+    !matches!(end, End::NotSent | End::NoConnection | End::Full)
+}
+
+fn window(repeat: Repeat, margin: f64) -> f64 {
+    match repeat {
+        Repeat::Replayable => f64::MAX,
+        Repeat::Keyed(window) => window - margin,
+        Repeat::NonReplayable => 0.0,
+    }
+}
+
 impl Desk {
     pub fn new(
         site: &Deployment,
@@ -128,6 +144,7 @@
             dispatch_cap: site.dispatch_cap,
             longest_wait: site.longest_wait,
             timeouts: site.table_types.iter().map(|t| t.timeout).collect(),
+            windows: site.table_types.iter().map(|t| window(t.repeat, site.tick)).collect(),
             scans: HashMap::new(),
             call_ids: HashSet::new(),
             last: 0,
--- a/crates/dunepond/src/desk/over.rs
+++ b/crates/dunepond/src/desk/over.rs
@@ -5,7 +5,7 @@
 use dunepond_search::answer::Answer;
 use tracing::{debug, error, warn};
 
-use super::Desk;
+use super::{Desk, may_have_run};
 use crate::body::Text;
 use crate::clients::complaint;
 use crate::servers::Back;
@@ -19,6 +19,9 @@
         if let Some(agreed) = &mut in_hand.agreed {
             agreed.ended(ended.part, ended.end);
         }
+        if may_have_run(ended.end) {
+            in_hand.ran[ended.part] = in_hand.ran[ended.part].min(self.now - ended.took);
+        }
         if let (Some(fleet), Some(text)) = (&self.fleet, &value) {
             fleet.carried(ended.node, in_hand.customer, text.len());
         }
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -26,7 +26,11 @@
     pub(super) fn write(&mut self, now: f64, api: Option<Spoken>, look: Option<&Look>) -> io::Result<()> {
         loop {
             self.out.flush(Timely { stream: &*self.stream, look })?;
-            if !self.out.is_empty() || self.carried.iter().all(|o| o.to.is_some()) {
+            if !self.out.is_empty() {
+                self.unframe();
+                return Ok(());
+            }
+            if self.carried.iter().all(|o| o.to.is_some()) {
                 return Ok(());
             }
             while self.out.waiting() < SIZE
@@ -39,6 +43,7 @@
                     let wait = ((parcel.until - now).max(0.001) * 1000.0) as u64;
                     let index = &names[parcel.table_type];
                     let length = parcel.text.length();
+                    out.from = self.out.end();
                     self.out.put(&node::head(host, index, what, parcel.seg, &parcel.id, wait, length));
                     if let Text::Short(text) = &parcel.text {
                         self.out.put_text(text);
@@ -49,6 +54,7 @@
                     out.to = Some(self.out.end());
                     continue;
                 }
+                let from = self.out.end();
                 let parts = self.carried.iter().filter(|o| o.call == call).map(|o| &o.parcel);
                 let wait = |p: &Parcel| ((p.until - now).max(0.001) * 1000.0) as u64;
                 let small = |p: &Parcel| match &p.text {
@@ -77,7 +83,22 @@
                     }
                 }
                 let to = Some(self.out.end());
-                self.carried.iter_mut().filter(|o| o.call == call).for_each(|o| o.to = to);
+                self.carried.iter_mut().filter(|o| o.call == call).for_each(|o| (o.from, o.to) = (from, to));
+            }
+        }
+    }
+
+    /// Takes back the frames of which not a byte has gone out: by the time that they can, the time that they tell is
+    /// no longer what is left, their scans may be over and their node may be due nothing new.
+    fn unframe(&mut self) {
+        let begun = self.out.written();
+        let unbegun = |o: &&mut Out| o.to.is_some() && o.from >= begun;
+        let Some(from) = self.carried.iter_mut().filter(unbegun).map(|o| o.from).min() else { return };
+        let mut reader = self.out.take_back(from);
+        for out in self.carried.iter_mut().filter(unbegun) {
+            out.to = None;
+            if out.parcel.text.body().is_some() {
+                out.parcel.reader = reader.take();
             }
         }
     }
@@ -103,6 +124,7 @@
             }
             for id in self.servers[node].links.clone() {
                 self.write(now, id, alarms);
+                self.rest(now, id, alarms);
             }
         }
     }
@@ -131,6 +153,7 @@
             parcel,
             sent: now,
             call,
+            from: 0,
             to: None,
             noted: false,
         }));
@@ -154,6 +177,9 @@
         {
             return self.end(now, id, Ending::CutShort, alarms);
         }
+        if !self.lapse(now, id) {
+            return self.end(now, id, Ending::CutShort, alarms);
+        }
         let Some(link) = self.links.get_mut(id).filter(|l| l.up) else { return };
         let host = self.servers[link.node].row.as_ref().map_or("?", |row| &row.host);
         let spoken = self.api.as_ref().filter(|_| link.api);
--- a/crates/dunepond/src/servers/listing.rs
+++ b/crates/dunepond/src/servers/listing.rs
@@ -1,12 +1,12 @@
 //! What the list says of nodes, and what that means for the connections to them.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use dunepond_decide::{End, NodeId, Standing};
+use dunepond_decide::{NodeId, Standing};
 use dunepond_state::Identity;
 
-use super::{Out, Server, Servers};
+use super::{Server, Servers};
 use crate::clock::Alarms;
 use crate::ending::Ending;
 
@@ -47,10 +47,7 @@
             link.retired |= moved || standing == Standing::Gone;
             // What still waits here may be written long after the node was not to get anything new.
             if link.retired || standing != Standing::Active {
-                let (unsent, carried) = link.carried.drain(..).partition(|o| o.to.is_none());
-                link.carried = carried;
-                let unsent: VecDeque<Out> = unsent;
-                self.back.extend(unsent.into_iter().map(|o| o.back(node, End::NotSent, now, None)));
+                self.hold(now, id, |_| true);
                 self.rest(now, id, alarms);
             }
         }
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -39,6 +39,8 @@
     pub seg: usize,
     pub table_type: usize,
     pub until: f64,
+    /// From then on not a byte of it may go out: its scan's time is over, or the window in which a repeat is dropped.
+    pub lapses: f64,
     pub text: Text,
     /// Its own way through a body, from the beginning of its dispatch on.
     pub reader: Option<Reader>,
@@ -52,8 +54,10 @@
     sent: f64,
     /// Parts of one frame are one call.
     call: u64,
-    /// Where its frame ends in what the connection has to write, once it is framed. A connection that is
-    /// not up, or is stuck, frames nothing: what waits on it can be given up without a trace.
+    /// Where its frame begins and ends in what the connection has to write, once it is framed. A connection that is
+    /// not up, or is stuck, holds no frame that it has not begun to write: what waits on it can be given up without
+    /// a trace, and tells its node the time that is left once it does go out.
+    from: u64,
     to: Option<u64>,
     /// Its sending has been noted.
     noted: bool,
--- a/crates/dunepond/src/servers/recall.rs
+++ b/crates/dunepond/src/servers/recall.rs
@@ -1,8 +1,10 @@
 //! Dispatches taken back: kept here where they have not gone out, given up at the node otherwise.
 
+use std::collections::VecDeque;
+
 use dunepond_decide::{End, NodeId, ScanId};
 
-use super::Servers;
+use super::{Out, Servers};
 use crate::clock::Alarms;
 use crate::ending::Ending;
 use crate::frames;
@@ -37,6 +39,31 @@
         }
     }
 
+    /// Takes back what has waited on a connection for too long. False where of some frame a part has gone out by then:
+    /// its rest would arrive too late, and cannot be cut out of the stream.
+    pub(super) fn lapse(&mut self, now: f64, id: usize) -> bool {
+        let Some(link) = self.links.get_mut(id) else { return true };
+        let written = link.out.written();
+        let lapsed = |o: &Out| now >= o.parcel.lapses;
+        if link.carried.iter().any(|o| lapsed(o) && o.to.is_some_and(|to| to > written)) {
+            return false;
+        }
+        self.hold(now, id, lapsed);
+        true
+    }
+
+    /// Takes back such of what waits on a connection as `which` says.
+    pub(super) fn hold(&mut self, now: f64, id: usize, which: impl Fn(&Out) -> bool) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        let held = |o: &Out| o.to.is_none() && which(o);
+        if link.carried.iter().any(held) {
+            let (held, carried): (VecDeque<Out>, _) = link.carried.drain(..).partition(held);
+            link.carried = carried;
+            let node = link.node;
+            self.back.extend(held.into_iter().map(|o| o.back(node, End::NotSent, now, None)));
+        }
+    }
+
     /// Takes back what has not gone out, if it has not: once its scan is answered no part of it may.
     pub fn recall(&mut self, now: f64, node: NodeId, key: (ScanId, usize, usize), end: End) -> bool {
         let Some(server) = self.servers.get_mut(node) else { return false };
--- /dev/null
+++ b/crates/dunepond/tests/handover.rs
@@ -0,0 +1,424 @@
+//! What becomes of parts while they are handed over: on connections that come up late, are stuck, break or lie idle. The
+//! nodes are led by hand, so that the order of what crosses is the story's.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant};
+
+use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
+use serde_json::{Value, json};
+use socket2::{Domain, SockRef, Socket, Type};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A text that no narrow connection takes at once.
+const LONG: usize = 60_000;
+
+/// A node that does nothing by itself.
+struct Hand(TcpListener);
+
+/// A broker's connection to it.
+struct Wire(TcpStream);
+
+/// One part as its node is sent it.
+#[derive(Debug)]
+struct Call {
+    id: String,
+    /// How long the broker says that it will wait.
+    wait: Duration,
+}
+
+impl Hand {
+    fn start() -> Self {
+        Self(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// One whose connections hold less than a long text on their way, while nobody reads.
+    fn narrow() -> Self {
+        let hand = Self::start();
+        SockRef::from(&hand.0).set_recv_buffer_size(2048).unwrap();
+        let size: libc::c_int = 536;
+        let length = size_of_val(&size) as libc::socklen_t;
+        // SAFETY: the option's value is an int of ours, which outlives the call.
+        let outcome = unsafe {
+            let value = (&raw const size).cast();
+            libc::setsockopt(hand.0.as_raw_fd(), libc::IPPROTO_TCP, libc::TCP_MAXSEG, value, length)
+        };
+        assert_eq!(outcome, 0);
+        hand
+    }
+
+    /// One whose queue is full, so that what is opened to it comes up once there is room and the system tries again,
+    /// after a second; and what fills the queue.
+    fn full() -> (Self, Vec<TcpStream>) {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let hand = Self(socket.into());
+        let connect = |_| TcpStream::connect_timeout(&hand.address(), Duration::from_millis(50)).ok();
+        let fill = (0..3).filter_map(connect).collect();
+        (hand, fill)
+    }
+
+    /// Makes room in a full queue, and gives the connection that comes up then.
+    fn accepted_late(&self, fill: Vec<TcpStream>) -> Wire {
+        let ours: Vec<_> = fill.iter().map(|stream| stream.local_addr().unwrap()).collect();
+        loop {
+            let wire = self.accepted();
+            if !ours.contains(&wire.0.peer_addr().unwrap()) {
+                return wire;
+            }
+        }
+    }
+
+    fn accepted(&self) -> Wire {
+        let start = Instant::now();
+        self.0.set_nonblocking(true).unwrap();
+        loop {
+            match self.0.accept() {
+                Ok((stream, _)) => return Wire::on(stream),
+                Err(e) => assert!(e.kind() == ErrorKind::WouldBlock && start.elapsed() < PATIENCE, "{e}"),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    fn line(&self, name: &str, health: &str) -> Value {
+        json!({"host": name, "dial": self.address().to_string(), "site": "a", "class": "m", "block": 0,
+            "health": health, "share": 1.0, "born_ms": 0})
+    }
+
+    /// Waits until somebody tries to connect here, and has not yet.
+    fn wait_called(&self) {
+        wait("nobody connects", || sockets().iter().any(|s| s.remote == self.address() && s.state == "02"));
+    }
+}
+
+impl Wire {
+    fn on(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self(stream)
+    }
+
+    fn frame(&mut self) -> (char, String) {
+        let mut length = [0; 4];
+        self.0.read_exact(&mut length).unwrap();
+        let mut rest = vec![0; u32::from_be_bytes(length) as usize];
+        self.0.read_exact(&mut rest).unwrap();
+        (rest[0] as char, String::from_utf8(rest[1..].to_vec()).unwrap())
+    }
+
+    /// The next part that is sent.
+    fn call(&mut self) -> Call {
+        let (letter, text) = self.frame();
+        assert_eq!(letter, 'A', "{text}");
+        let words: Vec<_> = text.lines().next().unwrap().split(' ').collect();
+        let wait = words[2].strip_prefix("d=").unwrap().parse().unwrap();
+        Call { id: words[0].to_string(), wait: Duration::from_millis(wait) }
+    }
+
+    /// Waits until something has come, and leaves it unread.
+    fn wait_bytes(&self) {
+        assert!(self.0.peek(&mut [0]).unwrap() > 0);
+    }
+
+    fn say(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    fn serve(&mut self, call: &Call) {
+        self.say(&end(&call.id, "hit"));
+    }
+
+    /// Resets the connection, whatever has not been read.
+    fn reset(self) {
+        self.ends(true);
+    }
+
+    /// Closes the connection, or resets it, which has come to the broker's end by then.
+    fn ends(self, resets: bool) {
+        if resets {
+            SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        let (local, remote) = (self.0.peer_addr().unwrap(), self.0.local_addr().unwrap());
+        drop(self);
+        let up = |s: &Listed| s.local == local && s.remote == remote && s.state == "01";
+        wait("still up", || !sockets().iter().any(up));
+    }
+
+    /// All that still comes until the broker closes or resets it.
+    fn rest(mut self) -> Vec<u8> {
+        let mut rest = Vec::new();
+        match self.0.read_to_end(&mut rest) {
+            Err(e) if e.kind() != ErrorKind::ConnectionReset => panic!("still open: {e}"),
+            _ => rest,
+        }
+    }
+}
+
+/// A socket as the system lists it, of whichever process.
+struct Listed {
+    local: SocketAddr,
+    remote: SocketAddr,
+    state: String,
+    unread: u64,
+}
+
+fn sockets() -> Vec<Listed> {
+    let address = |text: &str| {
+        let (ip, port) = text.split_once(':').unwrap();
+        let ip = u32::from_str_radix(ip, 16).unwrap().to_le_bytes();
+        SocketAddr::from((ip, u16::from_str_radix(port, 16).unwrap()))
+    };
+    let line = |line: &str| {
+        let words: Vec<_> = line.split_whitespace().collect();
+        let unread = words[4].split_once(':').unwrap().1;
+        let (local, remote) = (address(words[1]), address(words[2]));
+        Listed {
+            local,
+            remote,
+            state: words[3].to_string(),
+            unread: u64::from_str_radix(unread, 16).unwrap(),
+        }
+    };
+    std::fs::read_to_string("/proc/net/tcp").unwrap().lines().skip(1).map(line).collect()
+}
+
+fn wait(what: &str, until: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !until() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// The broker's end of a connection of ours.
+fn over_there(ours: &TcpStream) -> Option<Listed> {
+    let (local, remote) = (ours.peer_addr().unwrap(), ours.local_addr().unwrap());
+    sockets().into_iter().find(|s| s.local == local && s.remote == remote)
+}
+
+/// Sends what the broker, which stands still, will find once it goes on.
+fn left_for(client: &mut Client, request: &str) {
+    client.send(request);
+    wait("nothing comes", || over_there(&client.stream).is_some_and(|s| s.unread >= request.len() as u64));
+}
+
+/// Clients that close, which the broker has seen.
+fn gone<const N: usize>(clients: [Client; N]) {
+    let ends =
+        clients.map(|client| (client.stream.peer_addr().unwrap(), client.stream.local_addr().unwrap()));
+    wait("not let go", || !sockets().iter().any(|s| ends.contains(&(s.local, s.remote))));
+}
+
+/// Stops the broker while it waits for what comes next.
+fn stopped(broker: &Broker) {
+    let state = || {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", broker.pid())).unwrap();
+        stat.rsplit_once(") ").unwrap().1.chars().next()
+    };
+    settled(broker);
+    let waits = |_| {
+        std::thread::sleep(Duration::from_millis(2));
+        state() == Some('S')
+    };
+    wait("never at rest", || (0..5).all(waits));
+    broker.signal("STOP");
+    wait("never stopped", || state() == Some('T'));
+}
+
+/// An end of a part, with a value.
+fn end(id: &str, word: &str) -> Vec<u8> {
+    let rest = format!("E{id} {word} 7 -\nv");
+    [&(rest.len() as u32).to_be_bytes()[..], rest.as_bytes()].concat()
+}
+
+/// A scan of one shard, with a text so long.
+fn long(table_type: &str, id: &str, budget: &str) -> String {
+    let request = scan(table_type, id, &[0], budget);
+    let (head, body) = request.split_once("\r\n\r\n").unwrap();
+    let body = body.replace("q1", &"q".repeat(LONG));
+    let head = head.split("Content-Length").next().unwrap();
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A broker before nodes of these lines, with further keys of its configuration told otherwise.
+fn before(lines: Vec<Value>, keys: &[(&str, Value)]) -> (Broker, List) {
+    let list = List::start(lines.clone());
+    let mut config = config(list.address, lines);
+    // On a machine under load what is usual here would be late, and scans turned away for it.
+    for service in config["settings"]["services"].as_array_mut().unwrap() {
+        service["aimMs"] = json!(3000.0);
+    }
+    for (key, value) in keys {
+        *config.pointer_mut(key).unwrap() = value.clone();
+    }
+    (Broker::start(&config), list)
+}
+
+/// All that came before has been read: what one turn of the broker's loop finds it may take in any order, but the second
+/// of two that wait for one another is not of the same turn as what came before the first.
+fn settled(broker: &Broker) {
+    for _ in 0..2 {
+        assert_eq!(Client::to(broker).ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
+    }
+}
+
+/// Two scans with long texts: the first half written to a node that does not read, the second behind it.
+struct Stuck {
+    broker: Broker,
+    list: List,
+    hand: Hand,
+    wire: Wire,
+    first: Client,
+    second: Client,
+}
+
+impl Stuck {
+    fn before(table_type: &str, keys: &[(&str, Value)]) -> Self {
+        let hand = Hand::narrow();
+        let (broker, list) = before(vec![hand.line("s-0", "ready")], keys);
+        list.wait_read();
+        let (mut first, mut second) = (Client::to(&broker), Client::to(&broker));
+        // Both wait for the connection, and can go out once it is up.
+        stopped(&broker);
+        left_for(&mut first, &long(table_type, "c1", "2.8"));
+        left_for(&mut second, &long(table_type, "c2", "2.8"));
+        broker.signal("CONT");
+        let wire = hand.accepted();
+        wire.wait_bytes();
+        settled(&broker);
+        Self { broker, list, hand, wire, first, second }
+    }
+
+    /// Lists a node that serves, beside the one that is stuck.
+    fn joined(&self, health: &str) -> Node {
+        let node = Node::start("s-1");
+        self.list.tell(vec![self.hand.line("s-0", health), node.line("ready")]);
+        self.list.wait_read();
+        settled(&self.broker);
+        node
+    }
+}
+
+/// Framed together with the one before it, it told its node of time that had passed in the queue.
+#[test]
+fn what_has_waited_behind_another_tells_the_time_that_is_left_as_it_goes_out() {
+    let mut stuck = Stuck::before("find", &[("/settings/ceilings/secondCopies", json!(false))]);
+    let waits = Duration::from_millis(500);
+    std::thread::sleep(waits);
+    let (first, second) = (stuck.wire.call(), stuck.wire.call());
+    assert!(second.wait + waits <= first.wait + Duration::from_millis(20), "{first:?} {second:?}");
+    stuck.wire.serve(&first);
+    stuck.wire.serve(&second);
+    assert_eq!((stuck.first.answer().unwrap().status, stuck.second.answer().unwrap().status), (200, 200));
+}
+
+/// The last byte of no frame has gone out: neither has run, and both may go elsewhere.
+#[test]
+fn parts_half_written_and_behind_it_are_known_not_to_have_run_at_a_reset() {
+    let mut stuck = Stuck::before("fix", &[]);
+    let node = stuck.joined("ready");
+    stuck.wire.reset();
+    assert_eq!((stuck.first.answer().unwrap().status, stuck.second.answer().unwrap().status), (200, 200));
+    assert_eq!(node.frames('A').len(), 2);
+}
+
+/// One byte more, and it may have run.
+#[test]
+fn a_part_whose_last_byte_has_gone_out_is_not_sent_again_after_a_reset() {
+    let (hand, node) = (Hand::start(), Node::start("s-1"));
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    wire.call();
+    list.tell(vec![hand.line("s-0", "ready"), node.line("ready")]);
+    list.wait_read();
+    wire.reset();
+    assert_eq!(client.answer().unwrap().status, 502);
+    assert_eq!(node.frames('A').len(), 0);
+}
+
+/// What has begun goes on; what waits behind it would be something new to the node.
+#[test]
+fn a_part_behind_a_half_written_one_leaves_a_node_that_drains() {
+    let mut stuck = Stuck::before("fix", &[]);
+    let node = stuck.joined("draining");
+    assert_eq!(stuck.second.answer().unwrap().status, 200);
+    assert_eq!(node.frames('A').len(), 1);
+    let first = stuck.wire.call();
+    assert_eq!(first.id, "c1.0");
+    stuck.wire.serve(&first);
+    assert_eq!(stuck.first.answer().unwrap().status, 200);
+    drop(stuck.broker);
+    assert!(stuck.wire.rest().is_empty());
+}
+
+/// It was cut out of the stream by closing it, with the part before it.
+#[test]
+fn a_client_that_goes_while_its_part_is_behind_a_half_written_one_costs_that_one_nothing() {
+    let mut stuck = Stuck::before("fix", &[]);
+    gone([stuck.second]);
+    let first = stuck.wire.call();
+    stuck.wire.serve(&first);
+    assert_eq!(stuck.first.answer().unwrap().status, 200);
+    drop(stuck.broker);
+    assert!(stuck.wire.rest().is_empty());
+}
+
+/// Sent in time, and out of it only once the window in which a repeat is dropped was over: run twice.
+#[test]
+fn a_keyed_repeat_that_waits_for_its_connection_past_the_window_never_goes_out() {
+    let (hand, (late, fill)) = (Hand::start(), Hand::full());
+    let keys = [
+        ("/settings/services/1/semantics", json!("token")),
+        ("/settings/services/1/repeatWindowMs", json!(600.0)),
+        ("/settings/ceilings/connectTimeoutMs", json!(5000.0)),
+    ];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    wire.call();
+    list.tell(vec![hand.line("s-0", "ready"), late.line("s-1", "ready")]);
+    list.wait_read();
+    wire.reset();
+    late.wait_called();
+    let wire = late.accepted_late(fill);
+    assert_eq!(client.answer().unwrap().status, 502);
+    drop(broker);
+    assert!(wire.rest().is_empty());
+}
+
+/// Its client has its answer, or has gone, by the time that the connection is up.
+#[test]
+fn nothing_goes_out_for_a_scan_whose_time_is_over_when_its_connection_comes_up() {
+    let (late, fill) = Hand::full();
+    let keys = [
+        ("/settings/ceilings/connectTimeoutMs", json!(5000.0)),
+        ("/settings/services/1/aimMs", json!(400.0)),
+    ];
+    let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "0.5"));
+    late.wait_called();
+    stopped(&broker);
+    let asked = Instant::now();
+    let wire = late.accepted_late(fill);
+    std::thread::sleep(Duration::from_millis(600).saturating_sub(asked.elapsed()));
+    broker.signal("CONT");
+    // Refused or given up, by which of the two it met first; it is the bytes that count.
+    assert_ne!(client.answer().unwrap().status, 200);
+    drop(broker);
+    assert!(wire.rest().is_empty());
+}
