A connection that came up after its node was replaced stays with the new process

Seen by probe (a full backlog, so that the connection comes up a second late): a list that tells of a new process ended every connection that had been *opened* before it started (`listed`, `link.began < started`), also one that came up only afterwards, as connections do up to 1.5 s late. It can only be the new process that took it; what was out there ended as reset, and a non-replayable scan failed for nothing. Now the time at which it came up is what counts.

What still waits for its connection as its node is replaced leaves it unsent, so that the module decides anew with what a cold node bears; before, it came back as a connection that failed, a fault of the new process.

Without the mend the first of the new tests fails (502 for 200); the second one holds on both.

--- a/crates/dunepond/src/servers/connect.rs
+++ b/crates/dunepond/src/servers/connect.rs
@@ -52,8 +52,8 @@
             node,
             stream,
             token,
-            began: now,
             up: false,
+            since: now,
             retired: false,
             alarm: Some(alarms.set(now + self.bounds.connect_timeout, Due::Link(id))),
             input: None,
@@ -78,7 +78,7 @@
                 Ok(None) if link.stream.peer_addr().is_err() => return,
                 Ok(None) => {}
             }
-            link.up = true;
+            (link.up, link.since) = (true, now);
             alarms.unset(link.alarm.take());
         }
         // What came before a break is read before the break is met in writing.
--- a/crates/dunepond/src/servers/listing.rs
+++ b/crates/dunepond/src/servers/listing.rs
@@ -40,13 +40,15 @@
         }
         for id in server.links.clone() {
             let link = &mut self.links[id];
-            if replaced && link.began < started {
+            // What is still coming up does so with the new process, if it does; one that came up since is its own.
+            if replaced && link.up && link.since < started {
                 self.end(now, id, Ending::Replaced, alarms);
                 continue;
             }
             link.retired |= moved || standing == Standing::Gone;
-            // What still waits here may be written long after the node was not to get anything new.
-            if link.retired || standing != Standing::Active {
+            // What still waits here may be written long after the node was not to get anything new, or to a new process that
+            // bears less.
+            if link.retired || replaced || standing != Standing::Active {
                 self.hold(now, id, |_| true);
                 self.rest(now, id, alarms);
             }
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -67,8 +67,9 @@
     node: NodeId,
     stream: Rc<TcpStream>,
     token: RegistrationToken,
-    began: f64,
     up: bool,
+    /// When it came up, or before that when it was opened.
+    since: f64,
     /// Nothing new goes out on it; it is closed once nothing is out.
     retired: bool,
     alarm: Option<Key>,
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -4,7 +4,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
 use serde_json::{Value, json};
@@ -422,3 +422,43 @@
     drop(broker);
     assert!(wire.rest().is_empty());
 }
+
+/// Opened before the new process began, and up only since: what is out there is out at the new one.
+#[test]
+fn a_connection_that_came_up_after_its_node_was_replaced_is_the_new_processs() {
+    let (late, fill) = Hand::full();
+    let keys = [("/settings/ceilings/connectTimeoutMs", json!(5000.0))];
+    let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "2.8"));
+    late.wait_called();
+    let mut line = late.line("s-0", "ready");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    line["born_ms"] = json!(now.as_millis() as u64 + 1);
+    let mut wire = late.accepted_late(fill);
+    let call = wire.call();
+    list.tell(vec![line]);
+    list.wait_read();
+    settled(&broker);
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+}
+
+/// A new process bears less than the old one did: what waits for it is asked about again.
+#[test]
+fn a_part_that_waits_for_its_connection_leaves_a_node_that_was_replaced() {
+    let (late, _fill) = Hand::full();
+    let keys = [("/settings/ceilings/connectTimeoutMs", json!(5000.0))];
+    let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "2.8"));
+    late.wait_called();
+    let (mut line, node) = (late.line("s-0", "ready"), Node::start("s-1"));
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    line["born_ms"] = json!(now.as_millis() as u64 + 1);
+    list.tell(vec![line, node.line("ready")]);
+    assert_eq!(client.answer().unwrap().status, 200);
+    assert_eq!(node.frames('A').len(), 1);
+}
