--- a/crates/dunepond/src/servers/listing.rs
+++ b/crates/dunepond/src/servers/listing.rs
@@ -1,12 +1,12 @@
 //! What the list says of nodes, and what that means for the connections to them.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use dunepond_decide::{End, NodeId, Standing};
+use dunepond_decide::{NodeId, Standing};
 use dunepond_state::Identity;
 
-use super::{Out, Server, Servers};
+use super::{Server, Servers};
 use crate::clock::Alarms;
 use crate::ending::Ending;
 
@@ -40,17 +40,16 @@
         }
         for id in server.links.clone() {
             let link = &mut self.links[id];
-            if replaced && link.began < started {
+            // What is still coming up does so with the new process, if it does; one that came up since is its own.
+            if replaced && link.up && link.since < started {
                 self.end(now, id, Ending::Replaced, alarms);
                 continue;
             }
             link.retired |= moved || standing == Standing::Gone;
-            // What still waits here may be written long after the node was not to get anything new.
-            if link.retired || standing != Standing::Active {
-                let (unsent, carried) = link.carried.drain(..).partition(|o| o.to.is_none());
-                link.carried = carried;
-                let unsent: VecDeque<Out> = unsent;
-                self.back.extend(unsent.into_iter().map(|o| o.back(node, End::NotSent, now, None)));
+            // What still waits here may be written long after the node was not to get anything new, or to a new process that
+            // bears less.
+            if link.retired || replaced || standing != Standing::Active {
+                self.hold(now, id, |_| true);
                 self.rest(now, id, alarms);
             }
         }
