--- a/crates/dunepond-decide/src/policy/admission.rs
+++ b/crates/dunepond-decide/src/policy/admission.rs
@@ -58,11 +58,8 @@
         }
         let useful = if late { kind.target } else { held.target_at - self.now };
         let horizon = useful.min(held.ends_at - self.now);
-        let work = if self.site.benefit_by_work {
-            1.0
-        } else {
-            held.pieces.len() as f64 * self.share(held, |r| &r.whole_at)
-        };
+        let parts = held.pieces.len() as f64 * self.share(held, |r| &r.whole_at);
+        let work = if self.site.benefit_by_work { 1.0 } else { parts };
         let density = kind.benefit * if late { kind.late } else { 1.0 } / work;
         keep_last(&mut self.density, density, FLEET_SAMPLES);
         let below = |d: &f64| 0.5 * (f64::from(*d < density) + f64::from(*d <= density));
@@ -81,8 +78,8 @@
 
     /// At most nodes in service the oldest of ours has waited long: nothing is to go out that need not.
     pub fn pressed(&self) -> bool {
-        let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
-        let waits = |n: &Node| n.outs.first().is_some_and(|o| self.now - o.at > PRESSED * shortest);
+        let late = PRESSED * self.shortest_target;
+        let waits = |n: &Node| n.outs.first().is_some_and(|o| self.now - o.at > late);
         let serving = self.nodes.iter().flatten().filter(|n| n.aside.is_none());
         let (late, all) = serving.fold((0, 0), |(late, all), n| (late + usize::from(waits(n)), all + 1));
         2 * late > all
--- a/crates/dunepond-decide/src/policy/further.rs
+++ b/crates/dunepond-decide/src/policy/further.rs
@@ -14,9 +14,8 @@
         // Most nodes that seem silent have a queue: no copy goes before nearly all would have answered.
         let overdue = |b: &Broker, s: &Shot| s.at + if b.aside(s.node) { b.nearly_all } else { late };
         let well = |b: &Broker, p: &Piece| p.done || p.out().any(|s| b.now < overdue(b, s));
-        let copies = held.rules.second_copies && self.rules.second_copies;
-        let copies = copies && kind.repeat == Repeat::Replayable;
-        let copies = copies && held.weight(|p| well(self, p)) < need;
+        let allowed = held.rules.second_copies && self.rules.second_copies;
+        let copies = kind.repeat == Repeat::Replayable && allowed && held.weight(|p| well(self, p)) < need;
         // What could not go now is tried again, the more seldom the longer it has waited.
         let later = self.now + (5.0 * self.site.tick).max((self.now - held.came) / 32.0);
         for part in held.step_from..held.pieces.len() {
--- a/crates/dunepond-decide/src/policy/health.rs
+++ b/crates/dunepond-decide/src/policy/health.rs
@@ -30,12 +30,11 @@
     /// What dispatches take, from the fleet's last samples; before there are any, a small part of the
     /// shortest target time.
     pub(super) fn measure(&mut self) {
-        let shortest = self.site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min);
         let mut sorted: Vec<f64> =
             self.fleet.iter().filter(|f| f.1 > self.since(LATELY)).map(|f| f.0).collect();
         sorted.sort_unstable_by(f64::total_cmp);
         let usual = |q: f64| match sorted.len() < NODE_SAMPLES {
-            true => 0.4 * q * shortest,
+            true => 0.4 * q * self.shortest_target,
             false => sorted[(sorted.len() as f64 * q) as usize],
         };
         let median = usual(0.5).max(self.site.tick);
@@ -62,6 +61,7 @@
         let sent = |o: &Out| (o.scan, o.part, o.shot) == (ended.scan, ended.part, ended.shot);
         let Some(out) = node.outs.iter().position(sent).map(|at| node.outs.remove(at)) else { return };
         let (now, took, served) = (self.now, self.now - out.at, ended.end == End::Completed);
+        let (table_type, sent) = (out.table_type, out.at);
         node.used = now;
         let again = node.samples.back().is_some_and(|s| s.fault && s.at == now);
         let mut withdrawn = false;
@@ -90,7 +90,6 @@
             // seldom comes back when that is long over: that its queue is full is kept as a sample.
             End::Full => {
                 (node.refused, node.heard) = (now, now);
-                let (table_type, sent) = (out.table_type, out.at);
                 let full =
                     Sample { table_type, sent, took: nearly_all, at: now, served: false, fault: false };
                 return keep_last(&mut node.samples, full, NODE_SAMPLES);
@@ -113,8 +112,7 @@
         if served && warmth >= 1.0 {
             keep_last(&mut self.fleet, (took, self.now, 1.0 / self.warm as f64), FLEET_SAMPLES);
         }
-        let (table_type, sent, fault) = (out.table_type, out.at, !served && !withdrawn);
-        let sample = Sample { table_type, sent, took, at: now, served, fault };
+        let sample = Sample { table_type, sent, took, at: now, served, fault: !served && !withdrawn };
         keep_last(&mut node.samples, sample, NODE_SAMPLES);
         keep_last(&mut self.zones[node.zone], (took, self.now), 2 * NODE_SAMPLES);
         if withdrawn {
--- a/crates/dunepond-decide/src/policy/mod.rs
+++ b/crates/dunepond-decide/src/policy/mod.rs
@@ -27,8 +27,6 @@
 
 use rand::RngExt;
 
-use tally::never_ran;
-
 pub use crate::state::Broker;
 use crate::state::{Aside, Held, Node, Out, Piece, Sample, Shot, keep_last};
 use crate::{
--- a/crates/dunepond-decide/src/policy/tally.rs
+++ b/crates/dunepond-decide/src/policy/tally.rs
@@ -2,10 +2,6 @@
 
 use super::*;
 
-pub(super) fn never_ran(end: Option<End>) -> bool {
-    matches!(end, Some(End::Full | End::NoConnection | End::NotSent))
-}
-
 impl Broker {
     pub(super) fn tally(&mut self, host: &mut dyn Host, held: &mut Held) -> Pass {
         if held.step().is_empty() {
@@ -37,7 +33,7 @@
 
     /// Another dispatch of this part breaks no rule of its table type.
     pub(super) fn may_go(&self, held: &Held, piece: &Piece) -> bool {
-        let ran = |s: &&Shot| !never_ran(s.end);
+        let ran = |s: &&Shot| !s.never_ran();
         !piece.done
             && !held.spent
             && piece.shots.len() < self.dispatch_cap(held)
@@ -57,7 +53,7 @@
         let Some(held) = self.scans.get(&scan).filter(|held| !held.spent) else { return false };
         let cap = self.dispatch_cap(held);
         let again =
-            |p: &Piece| self.may_go(held, p) || p.shots.iter().all(|s| s.end.is_none() || never_ran(s.end));
+            |p: &Piece| self.may_go(held, p) || p.shots.iter().all(|s| s.end.is_none() || s.never_ran());
         held.step().iter().any(|p| !p.done && p.shots.len() < cap && again(p))
     }
 }
--- a/crates/dunepond-decide/src/policy/time.rs
+++ b/crates/dunepond-decide/src/policy/time.rs
@@ -29,7 +29,7 @@
     /// nothing, and its client would lose the time.
     pub(super) fn give_up(&mut self, host: &mut dyn Host, held: &Held) -> Pass {
         let replayable = self.site.table_types[held.table_type].repeat == Repeat::Replayable;
-        if replayable || held.pieces.iter().flat_map(|p| &p.shots).all(|s| never_ran(s.end)) {
+        if replayable || held.pieces.iter().flat_map(|p| &p.shots).all(Shot::never_ran) {
             let spread: f64 = self.rng.random_range(0.5..1.0);
             let longest = held.rules.longest_wait.min(self.rules.longest_wait);
             host.throttle(held.id, spread * longest);
--- a/crates/dunepond-decide/src/state.rs
+++ b/crates/dunepond-decide/src/state.rs
@@ -55,6 +55,7 @@
     /// The least that the median has been: what dispatches take at ease.
     pub(crate) ease: f64,
     pub(crate) longest_target: f64,
+    pub(crate) shortest_target: f64,
     /// When we took all to be spent that could be, as it is not known what an earlier process of ours spent.
     pub(crate) owes: f64,
     /// What a warm node completed for us each second when we last woke: with scans held, in a rush.
@@ -207,6 +208,7 @@
             limits: Limits::default(),
             refused: Cell::new(0.0),
             ease: f64::MAX,
+            shortest_target: site.table_types.iter().map(|t| t.target).fold(f64::MAX, f64::min),
             longest_target: site.table_types.iter().map(|t| t.target).fold(0.0, f64::max),
             site,
         }
@@ -229,6 +231,13 @@
     }
 }
 
+impl Shot {
+    /// It is known not to have run.
+    pub fn never_ran(&self) -> bool {
+        matches!(self.end, Some(End::Full | End::NoConnection | End::NotSent))
+    }
+}
+
 impl Piece {
     pub fn out(&self) -> impl Iterator<Item = &Shot> {
         self.shots.iter().filter(|s| s.end.is_none())
