What a last look has read is not sent on by an older look at its client

Seen (tests/hangup.rs before the change): a request and the end behind it, both found by the last look at a connection whose rest is over, began a scan if its client had been looked at less than 0.05 s before.

Now a look is old as soon as the client may be read, whoever says so, and `seen` is written by looks alone.

Also forced on the clients by themselves, loop turned by hand: a look is good for 0.05 s and not for more.

--- a/crates/dunepond/src/clients/answer.rs
+++ b/crates/dunepond/src/clients/answer.rs
@@ -52,7 +52,7 @@
         if let Err(e) = client.out.flush(&*client.stream) {
             // Whether a scan is still waiting shows when the end is read.
             debug!("client {id}: {e}");
-            (client.readable, client.seen) = (true, f64::MIN);
+            client.readable = true;
             return self.again.push(id);
         }
         let (taken, keep, alarm) = (client.out.is_empty(), client.keep, client.alarm);
--- a/crates/dunepond/src/clients/hangup.rs
+++ b/crates/dunepond/src/clients/hangup.rs
@@ -18,10 +18,11 @@
 const SEEN: f64 = 0.05;
 
 impl Clients {
-    /// Whether it has gone, by a look that is not old. `next_hung_up` names it then.
+    /// Whether it has gone, by a look that is not old and since which nothing was told of it. `next_hung_up` names it
+    /// then.
     pub fn has_hung_up(&mut self, now: f64, id: usize) -> bool {
         let Some(client) = self.clients.get_mut(id) else { return false };
-        if client.hung_up.is_none() && now - client.seen >= SEEN {
+        if client.hung_up.is_none() && (client.readable || now - client.seen >= SEEN) {
             client.seen = now;
             let ending = self.look(id);
             self.clients[id].hung_up = ending;
@@ -38,7 +39,7 @@
             phase => matches!(phase, Phase::Waiting | Phase::Held(_)),
         };
         if waits {
-            (client.readable, client.seen) = (true, f64::MIN);
+            client.readable = true;
             self.has_hung_up(now, id);
         }
     }
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -85,7 +85,7 @@
     phase: Phase,
     /// There may be something to read: readiness is told only once.
     readable: bool,
-    /// When it was last found to be there, with nothing told of it since; and how it ended, once it was not.
+    /// When it was last found to be there; and how it ended, once it was not.
     seen: f64,
     hung_up: Option<Ending>,
     /// When the first byte of this request was read.
--- a/crates/dunepond/src/clients/read.rs
+++ b/crates/dunepond/src/clients/read.rs
@@ -19,9 +19,7 @@
 impl Clients {
     pub fn ready(&mut self, now: f64, id: usize, readable: bool, alarms: &mut Alarms) {
         let Some(client) = self.clients.get_mut(id) else { return };
-        if readable {
-            (client.readable, client.seen) = (true, f64::MIN);
-        }
+        client.readable |= readable;
         if !client.out.is_empty() {
             self.write(now, id, alarms);
         }
--- /dev/null
+++ b/crates/dunepond/tests/hangup.rs
@@ -0,0 +1,99 @@
+//! How old a look at a client may be before something is sent on for it, and what makes it worthless at once.
+
+use std::net::Shutdown;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use calloop::EventLoop;
+use dunepond::buffers::Pool;
+use dunepond::clients::{Came, Clients, listen};
+use dunepond::clock::Alarms;
+use dunepond::turn::{Ready, Turn};
+use dunepond_lab::store::{Client, scan, settings};
+use dunepond_settings::{Fields, bounds};
+
+/// Longest that anything here waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The clients alone, led through a turn by hand: what the loop has told of them is not passed on.
+struct Door {
+    turns: EventLoop<'static, Turn>,
+    clients: Clients,
+    alarms: Alarms,
+    client: Client,
+    id: usize,
+}
+
+impl Door {
+    /// With one client, whose scan is held since then.
+    fn asked(at: f64) -> Self {
+        let mut turns = EventLoop::try_new().unwrap();
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let client = Client::dial(listener.local_addr().unwrap());
+        let (settings, mut alarms) = (settings(), Alarms::default());
+        let bounds = Rc::new(bounds(&Fields::of("settings", &settings).unwrap()).unwrap());
+        let mut clients = Clients::new(turns.handle(), &Pool::default(), bounds, 64, 64, listener).unwrap();
+        turns.dispatch(PATIENCE, &mut Turn::default()).unwrap();
+        clients.accept(at, false, &mut alarms);
+        let id = clients.again.pop().unwrap();
+        let mut door = Self { turns, clients, alarms, client, id };
+        door.sends(&scan("find", "c1", &[1], "2.0"));
+        assert!(matches!(door.clients.next(at, id, &mut door.alarms), Came::Scan(_)));
+        door.clients.holds(id, 7);
+        door
+    }
+
+    fn sends(&mut self, bytes: &str) {
+        self.client.send(bytes);
+        self.told();
+    }
+
+    fn hangs_up(&mut self) {
+        self.client.stream.shutdown(Shutdown::Both).unwrap();
+        self.told();
+    }
+
+    /// Waits for what the loop tells of the client.
+    fn told(&mut self) {
+        let (mut turn, start) = (Turn::default(), Instant::now());
+        while !turn.ready.iter().any(|ready| matches!(ready, Ready::Client(_, true))) {
+            self.turns.dispatch(PATIENCE, &mut turn).unwrap();
+            assert!(start.elapsed() < PATIENCE, "nothing is told");
+        }
+    }
+}
+
+/// An attempt that begins over 0.1 s after the close is a broken rule; half of that is left for its way.
+#[test]
+fn a_look_at_a_client_is_good_for_half_of_what_an_attempt_may_be_late() {
+    let mut door = Door::asked(100.0);
+    door.hangs_up();
+    let seen = [100.01, 100.04, 100.06].map(|now| door.clients.has_hung_up(now, door.id));
+    assert_eq!(seen, [false, false, true]);
+    assert_eq!(door.clients.next_hung_up(&mut door.alarms), Some(Some(7)));
+    assert_eq!((door.clients.next_hung_up(&mut door.alarms), door.clients.count()), (None, 0));
+}
+
+/// What the loop has told of it is not to be missed for a look that is not old.
+#[test]
+fn a_client_of_which_something_is_told_is_looked_at_whenever_that_was_before() {
+    let mut door = Door::asked(100.0);
+    door.hangs_up();
+    door.clients.look_ahead(100.0, door.id);
+    assert_eq!(door.clients.next_hung_up(&mut door.alarms), Some(Some(7)));
+}
+
+/// The last look at a connection whose time is up finds a request, and the end behind it, just after an answer.
+#[test]
+fn who_asks_and_closes_as_its_rest_is_over_is_not_sent_on() {
+    let mut door = Door::asked(100.0);
+    door.clients.reply(100.0, door.id, 200, "{}", 0.0, &mut door.alarms);
+    assert_eq!(door.client.answer().unwrap().status, 200);
+    door.clients.again.clear();
+    door.sends(&scan("find", "c2", &[1], "2.0"));
+    door.hangs_up();
+    door.clients.slow(100.01, door.id, &mut door.alarms);
+    assert_eq!(door.clients.again, [door.id]);
+    assert!(matches!(door.clients.next(100.01, door.id, &mut door.alarms), Came::Nothing));
+    assert_eq!(door.clients.next_hung_up(&mut door.alarms), Some(None));
+}
