--- a/crates/dunepond/tests/hangup.rs
+++ b/crates/dunepond/tests/hangup.rs
@@ -1,6 +1,6 @@
 //! How old a look at a client may be before something is sent on for it, and what makes it worthless at once.
 
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
     turns: EventLoop<'static, Turn>,
     clients: Clients,
     alarms: Alarms,
+    address: SocketAddr,
     client: Client,
     id: usize,
 }
@@ -27,16 +28,21 @@
 impl Door {
     /// With one client, whose scan is held since then.
     fn asked(at: f64) -> Self {
+        Self::for_at_most(64, at)
+    }
+
+    fn for_at_most(most: usize, at: f64) -> Self {
         let mut turns = EventLoop::try_new().unwrap();
         let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let client = Client::dial(listener.local_addr().unwrap());
+        let address = listener.local_addr().unwrap();
+        let client = Client::dial(address);
         let (settings, mut alarms) = (settings(), Alarms::default());
         let bounds = Rc::new(bounds(&Fields::of("settings", &settings).unwrap()).unwrap());
-        let mut clients = Clients::new(turns.handle(), &Pool::default(), bounds, 64, 64, listener).unwrap();
+        let mut clients = Clients::new(turns.handle(), &Pool::default(), bounds, most, 64, listener).unwrap();
         turns.dispatch(PATIENCE, &mut Turn::default()).unwrap();
         clients.accept(at, false, &mut alarms);
         let id = clients.again.pop().unwrap();
-        let mut door = Self { turns, clients, alarms, client, id };
+        let mut door = Self { turns, clients, alarms, address, client, id };
         door.sends(&scan("find", "c1", &[1], "2.0"));
         assert!(matches!(door.clients.next(at, id, &mut door.alarms), Came::Scan(_)));
         door.clients.holds(id, 7);
@@ -97,3 +103,20 @@
     assert!(matches!(door.clients.next(100.01, door.id, &mut door.alarms), Came::Nothing));
     assert_eq!(door.clients.next_hung_up(&mut door.alarms), Some(None));
 }
+
+/// There is no room for it until somebody else is answered.
+#[test]
+fn who_asks_and_closes_while_accepting_is_paused_is_not_sent_on() {
+    let mut door = Door::for_at_most(1, 100.0);
+    let mut waits = Client::dial(door.address);
+    waits.send(&scan("find", "c2", &[1], "2.0"));
+    assert!(!door.clients.accept(100.1, false, &mut door.alarms) && door.clients.again.is_empty());
+    waits.stream.shutdown(Shutdown::Both).unwrap();
+    door.clients.reply(100.2, door.id, 200, "{}", 0.0, &mut door.alarms);
+    door.clients.again.clear();
+    door.clients.resume();
+    door.clients.accept(100.2, false, &mut door.alarms);
+    let id = door.clients.again.pop().unwrap();
+    assert!(matches!(door.clients.next(100.2, id, &mut door.alarms), Came::Nothing));
+    assert_eq!((door.clients.next_hung_up(&mut door.alarms), door.clients.count()), (Some(None), 0));
+}
