--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -26,7 +26,7 @@
 /// How long after its time an answer is missed: another call goes out beside the one that is silent, as what is
 /// broken may be that one connection, and is itself missed so soon, as it asks for what can be had at once. At this pace
 /// there is one soon after an agent's return too: what it gets then counts at once.
-const OVERDUE: f64 = TOLD / 12.0;
+pub const OVERDUE: f64 = TOLD / 12.0;
 /// Between two calls at least, far inside of the 0.2 s that keep a watch alive: an agent that answers a watch at
 /// once, whatever it is asked, must not make us ask it in circles.
 const APART: f64 = 0.05;
@@ -77,6 +77,8 @@
     seq: Option<u64>,
     /// The last list had a line that would not do.
     spoilt: bool,
+    /// There was no descriptor for a call: it can be made again once somebody has made room.
+    pub short: bool,
     asked: f64,
     pause: f64,
 }
@@ -85,8 +87,8 @@
     pub fn new(handle: Handle, pool: &Pool, address: SocketAddr, bounds: &Bounds) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (calls, alarm, seq, pause) = (Vec::new(), None, None, AGAIN.0);
-        let (taken, spoilt, asked) = (Slab::new(), false, f64::MIN);
-        Self { handle, pool, address, nodes, taken, zones, calls, alarm, seq, spoilt, asked, pause }
+        let (taken, spoilt, short, asked) = (Slab::new(), false, false, f64::MIN);
+        Self { handle, pool, address, nodes, taken, zones, calls, alarm, seq, spoilt, short, asked, pause }
     }
 
     /// Calls the agent on a new connection: to watch on from where it was, or for the whole list.
@@ -111,7 +113,10 @@
                 self.calls.push(call);
                 self.ask(now, self.calls.len() - 1, alarms);
             }
-            Err(ending) => self.ended(now, ending, alarms),
+            Err(ending) => {
+                self.short = ending == Ending::NoDescriptor;
+                self.ended(now, ending, alarms);
+            }
         }
     }
 
@@ -195,7 +200,10 @@
         if self.calls.is_empty() || self.alarm.is_none() {
             alarms.unset(self.alarm.take());
             self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
-            self.pause = (2.0 * self.pause).min(AGAIN.1);
+            // Our own lack says nothing of the agent.
+            if ending != Ending::NoDescriptor {
+                self.pause = (2.0 * self.pause).min(AGAIN.1);
+            }
         }
     }
 
