An idle connection is read once more before it takes a part, and none past its time

Seen by probe (broker stopped, request sent, connection closed by its node, broker let go): the request is met before the end that is already in the socket, and its part is written to a connection that is known to be closed: a non-replayable scan ended as 502 after a close, as 429 after a reset. Now `call` reads an idle connection once more before it uses it, and `fit` passes over one whose alarm is due.

Without the read both cases of the first test fail, without the look at the alarm the second test.

--- a/crates/dunepond/src/clock.rs
+++ b/crates/dunepond/src/clock.rs
@@ -75,10 +75,15 @@
 
     pub fn take_due(&mut self, now: f64) -> Option<Due> {
         let first = self.set.first_entry()?;
-        if first.key().0 > (now * 1e6) as u64 { None } else { Some(first.remove()) }
+        if is_due(*first.key(), now) { Some(first.remove()) } else { None }
     }
 }
 
+/// Whether an alarm's time has come, rung or not.
+pub fn is_due(key: Key, now: f64) -> bool {
+    key.0 <= (now * 1e6) as u64
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -130,15 +130,16 @@
     }
 
     fn call(&mut self, now: f64, node: NodeId, parcels: Vec<Parcel>, alarms: &mut Alarms) {
-        let most = self.bounds.calls_a_connection;
-        let links = &self.servers[node].links;
-        // Half a frame may be all that ever comes on it.
-        let api = self.speaks_api(node);
-        let alone = api || parcels[0].text.body().is_some();
-        let room =
-            |l: &Link| if alone { l.carried.is_empty() } else { !l.is_taken() && l.calls_out() < most };
-        let fit = |l: &Link| !l.retired && l.api == api && l.input.is_none() && room(l);
-        let open = links.iter().copied().find(|id| fit(&self.links[*id]));
+        let mut open = self.fit(now, node, &parcels);
+        // The node may have closed it in this very moment, and what is written to it then may have run for all that we
+        // know: an idle connection is read once more before it is used.
+        while let Some(id) = open.filter(|id| self.links[*id].is_idle()) {
+            self.read(now, id, alarms);
+            if self.links.contains(id) {
+                break;
+            }
+            open = self.fit(now, node, &parcels);
+        }
         let id = match open.map_or_else(|| self.connect(now, node, alarms), Ok) {
             Ok(id) => id,
             Err(ending) => {
@@ -164,6 +165,20 @@
         }
     }
 
+    /// A connection that can take these parts as one call.
+    fn fit(&self, now: f64, node: NodeId, parcels: &[Parcel]) -> Option<usize> {
+        let (most, api) = (self.bounds.calls_a_connection, self.speaks_api(node));
+        let alone = api || parcels[0].text.body().is_some();
+        let room =
+            |l: &Link| if alone { l.carried.is_empty() } else { !l.is_taken() && l.calls_out() < most };
+        // Half a frame may be all that ever comes on it; and one that is due to be closed may be closed over there.
+        let sound = |l: &Link| !l.retired && l.api == api && l.input.is_none() && !l.is_over(now);
+        self.servers[node].links.iter().copied().find(|id| {
+            let link = &self.links[*id];
+            sound(link) && room(link)
+        })
+    }
+
     pub(super) fn write(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         // Only parts that must not run twice are judged, and only where that is written down are others looked at.
         let gate = self.gate.as_ref();
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::body::{Reader, Text};
 use crate::buffers::{Buffer, Outflow, Pool};
-use crate::clock::Key;
+use crate::clock::{self, Key};
 use crate::fleet::{Began, Gate};
 use crate::http::Message;
 use crate::turn::Handle;
@@ -171,6 +171,15 @@
         Some(out)
     }
 
+    fn is_idle(&self) -> bool {
+        self.up && self.carried.is_empty()
+    }
+
+    /// It has been idle for as long as it may.
+    fn is_over(&self, now: f64) -> bool {
+        self.is_idle() && self.alarm.is_some_and(|key| clock::is_due(key, now))
+    }
+
     /// Calls that are out, each in one stretch of what is carried.
     fn calls_out(&self) -> usize {
         let mut last = None;
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
+use rstest::rstest;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
 
@@ -270,6 +271,17 @@
     }
 }
 
+/// A first scan is served, and its node's connection lies idle after it.
+fn served(broker: &Broker, hand: &Hand) -> (Client, Wire) {
+    let mut client = Client::to(broker);
+    client.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+    (client, wire)
+}
+
 /// Two scans with long texts: the first half written to a node that does not read, the second behind it.
 struct Stuck {
     broker: Broker,
@@ -462,3 +474,39 @@
     assert_eq!(client.answer().unwrap().status, 200);
     assert_eq!(node.frames('A').len(), 1);
 }
+
+/// Asked and closed while the broker stood still, so that it meets both at once, and the request first.
+#[rstest]
+fn an_idle_connection_that_its_node_has_closed_takes_no_part(#[values(false, true)] resets: bool) {
+    let hand = Hand::start();
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let (mut client, mut wire) = served(&broker, &hand);
+    stopped(&broker);
+    left_for(&mut client, &scan("fix", "c2", &[0], "2.5"));
+    wire.ends(resets);
+    broker.signal("CONT");
+    wire = hand.accepted();
+    let call = wire.call();
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+}
+
+/// Its time is up, but the request comes before that is noticed: the node has closed it, or is about to.
+#[test]
+fn a_connection_that_has_been_idle_for_too_long_takes_no_part() {
+    let hand = Hand::start();
+    let (broker, list) =
+        before(vec![hand.line("s-0", "ready")], &[("/settings/ceilings/idleCloseMs", json!(400.0))]);
+    list.wait_read();
+    let (mut client, old) = served(&broker, &hand);
+    stopped(&broker);
+    left_for(&mut client, &scan("fix", "c2", &[0], "2.5"));
+    std::thread::sleep(Duration::from_millis(400));
+    broker.signal("CONT");
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+    assert!(old.rest().is_empty());
+}
