What a node answered before its connection broke is read, also where writing meets the break

Seen by probe: a node answers and resets, and the next part is written to that connection before its readiness is met. The write fails, and `Servers::write` ended the connection with the answer unread: a non-replayable scan that had been served ended as 502. `ready` reads first, but `flush` writes outside of it. Now a break that is met in writing is read out first. As the system tells a reset once only, an answer of the API without a length that it cut off is not taken for whole.

Ruled out: an answer and a reset in one read (used before, too), and the half of an answer before a reset (none).

Without the mend the second case of the new test fails.

--- a/crates/dunepond/src/servers/ends.rs
+++ b/crates/dunepond/src/servers/ends.rs
@@ -18,16 +18,28 @@
 
 impl Servers {
     pub(super) fn read(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        self.read_on(now, id, None, alarms);
+    }
+
+    /// A connection has broken, as was met in writing: what had come before is read, and then it ends.
+    pub(super) fn read_out(&mut self, now: f64, id: usize, broken: Ending, alarms: &mut Alarms) {
+        self.read_on(now, id, Some(broken), alarms);
+    }
+
+    fn read_on(&mut self, now: f64, id: usize, broken: Option<Ending>, alarms: &mut Alarms) {
         loop {
             let link = &mut self.links[id];
             let input = link.input.get_or_insert_with(|| self.pool.take());
             let ending = match input.read_from(&*link.stream) {
-                // An answer of the API that states no length ends so.
-                Ok(0) if link.message.as_mut().is_some_and(Message::closed) => self.answers(now, id),
-                Ok(0) => Some(Ending::Closed),
+                // An answer of the API that states no length ends so; but a reset that has been told once is told no more.
+                Ok(0) if broken.is_none() && link.message.as_mut().is_some_and(Message::closed) => {
+                    self.answers(now, id)
+                }
+                Ok(0) => broken.or(Some(Ending::Closed)),
                 Ok(_) if link.api => self.answers(now, id),
                 Ok(_) => self.frames(now, id),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => None,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && broken.is_some() => broken,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if input.is_empty() {
                         link.input = None;
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -217,8 +217,10 @@
             self.framed.push_back((link.node, out.parcel.key()));
         }
         if let Err(e) = outcome {
-            let late = e.get_ref().is_some_and(|e| e.is::<Late>());
-            self.end(now, id, if late { Ending::CutShort } else { Ending::of(&e) }, alarms);
+            if e.get_ref().is_some_and(|e| e.is::<Late>()) {
+                return self.end(now, id, Ending::CutShort, alarms);
+            }
+            self.read_out(now, id, Ending::of(&e), alarms);
         }
     }
 }
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -510,3 +510,45 @@
     assert_eq!(client.answer().unwrap().status, 200);
     assert!(old.rest().is_empty());
 }
+
+/// A node answers and breaks its connection: the answer is in, whichever of the two we meet first.
+#[rstest]
+#[case::in_reading(false)]
+#[case::in_writing_the_next_part(true)]
+fn an_answer_that_came_before_a_reset_is_used(#[case] writes: bool) {
+    let hand = Hand::start();
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let (mut first, mut second) = (Client::to(&broker), Client::to(&broker));
+    first.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    stopped(&broker);
+    if writes {
+        left_for(&mut second, &scan("fix", "c2", &[0], "2.5"));
+    }
+    wire.serve(&call);
+    wire.ends(true);
+    broker.signal("CONT");
+    assert_eq!(first.answer().unwrap().status, 200);
+    if writes {
+        // It never went out, and there is no other node.
+        assert_eq!(second.answer().unwrap().status, 429);
+    }
+}
+
+/// The half of an answer that came before it says nothing.
+#[test]
+fn half_an_answer_before_a_reset_is_none() {
+    let hand = Hand::start();
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    let answer = end(&call.id, "hit");
+    wire.say(&answer[..answer.len() - 1]);
+    wire.reset();
+    assert_eq!(client.answer().unwrap().status, 502);
+}
