A part goes out once only on one connection: an end that came twice was taken for the next

Seen by probe: a part's name is the same for all its dispatches. Sent again to the same node on the same connection, an end of the first that came twice ended the second, which was still out: another went out beside it, also where the settings allow no second copies. Now a further dispatch goes on a connection that has not carried the part yet (`fit`).

Ruled out: non-replayable and keyed parts never go to one node twice (`place`); two ends of one part with no further dispatch between them (the second was passed over before, too).

Without the mend the new test fails: the further dispatch comes on the same connection.

--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -173,9 +173,11 @@
             |l: &Link| if alone { l.carried.is_empty() } else { !l.is_taken() && l.calls_out() < most };
         // Half a frame may be all that ever comes on it; and one that is due to be closed may be closed over there.
         let sound = |l: &Link| !l.retired && l.api == api && l.input.is_none() && !l.is_over(now);
+        // Both of a part's dispatches would have one name there: an end that came twice would be taken for the other's.
+        let again = |l: &Link| parcels.iter().any(|p| p.shot > 0 && l.knows(&p.id));
         self.servers[node].links.iter().copied().find(|id| {
             let link = &self.links[*id];
-            sound(link) && room(link)
+            sound(link) && room(link) && !again(link)
         })
     }
 
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -171,6 +171,11 @@
         Some(out)
     }
 
+    /// It carries a part of this name, or has.
+    fn knows(&self, id: &str) -> bool {
+        self.past.iter().any(|past| **past == *id) || self.carried.iter().any(|o| *o.parcel.id == *id)
+    }
+
     fn is_idle(&self) -> bool {
         self.up && self.carried.is_empty()
     }
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -552,3 +552,26 @@
     wire.reset();
     assert_eq!(client.answer().unwrap().status, 502);
 }
+
+/// The first dispatch's end comes twice, and the second time after the next dispatch is out: that one is still out then.
+#[test]
+fn an_end_that_comes_twice_ends_one_dispatch() {
+    let hand = Hand::start();
+    let keys = [("/settings/ceilings/secondCopies", json!(false))];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.8"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    wire.say(&end(&call.id, "fault"));
+    let mut other = hand.accepted();
+    let again = other.call();
+    assert_eq!(again.id, call.id);
+    wire.say(&end(&call.id, "fault"));
+    settled(&broker);
+    other.serve(&again);
+    assert_eq!(client.answer().unwrap().status, 200);
+    drop(broker);
+    assert!(wire.rest().is_empty() && other.rest().is_empty());
+}
