Without leave to cancel, a half-written part goes no further once its scan is over

The rest of a half-written frame went out after the scan's answer, or after its client had gone, and the part counted from then. Now the desk withdraws it, which closes its connection, as a cancel did (`withdraw`). The others on it end as reset, as with a cancel.

Without the mend the new test fails: the frame comes whole.

--- a/crates/dunepond/src/desk/over.rs
+++ b/crates/dunepond/src/desk/over.rs
@@ -119,7 +119,7 @@
         self.held -= 1 + in_hand.open_parts();
         let client = in_hand.client;
         for (part, shot, node) in in_hand.dispatches() {
-            self.servers.recall(self.now, node, (scan, part, shot), End::NotSent);
+            self.servers.withdraw(self.now, node, (scan, part, shot), End::NotSent, &mut self.alarms);
         }
         if self.questions.is_some() {
             self.concluded.push((scan, false));
--- a/crates/dunepond/src/servers/recall.rs
+++ b/crates/dunepond/src/servers/recall.rs
@@ -4,7 +4,7 @@
 
 use dunepond_decide::{End, NodeId, ScanId};
 
-use super::{Out, Servers};
+use super::{Link, Out, Servers};
 use crate::clock::Alarms;
 use crate::ending::Ending;
 use crate::frames;
@@ -19,15 +19,15 @@
         end: End,
         alarms: &mut Alarms,
     ) {
-        if self.recall(now, node, key, end) {
+        if self.withdraw(now, node, key, end, alarms) {
             return;
         }
         for id in self.servers.get(node).map(|s| s.links.clone()).unwrap_or_default() {
             let link = &mut self.links[id];
             let Some(at) = link.carried.iter().position(|o| o.parcel.key() == key) else { continue };
             let Some(out) = link.take(at) else { continue };
-            if link.api || out.to.is_none_or(|to| to > link.out.written()) {
-                // The API knows no taking back: the connection is its request. Or: its frame must not arrive after the scan's answer, and cannot be cut out of the stream.
+            if link.api {
+                // The API knows no taking back: the connection is its request.
                 self.end(now, id, Ending::CutShort, alarms);
             } else if end == End::Cancelled {
                 // A dispatch that has timed out is known to the node by its frame.
@@ -64,8 +64,35 @@
         }
     }
 
-    /// Takes back what has not gone out, if it has not: once its scan is answered no part of it may.
-    pub fn recall(&mut self, now: f64, node: NodeId, key: (ScanId, usize, usize), end: End) -> bool {
+    /// Takes back what has not gone out whole, if it has not: once its scan is answered no part of it may.
+    pub fn withdraw(
+        &mut self,
+        now: f64,
+        node: NodeId,
+        key: (ScanId, usize, usize),
+        end: End,
+        alarms: &mut Alarms,
+    ) -> bool {
+        if self.recall(now, node, key, end) {
+            return true;
+        }
+        let half = |link: &Link| {
+            let written = link.out.written();
+            link.carried.iter().position(|o| o.parcel.key() == key && o.to.is_some_and(|to| to > written))
+        };
+        let links = self.servers.get(node).map_or(&[][..], |server| &server.links);
+        let found = links.iter().find_map(|id| half(&self.links[*id]).map(|at| (*id, at)));
+        let Some((id, at)) = found else { return false };
+        if let Some(out) = self.links[id].take(at) {
+            self.back.push_back(out.back(node, end, now, None));
+        }
+        // Half a frame cannot be cut out of the stream.
+        self.end(now, id, Ending::CutShort, alarms);
+        true
+    }
+
+    /// Takes back what has not begun to go out, if it has not.
+    fn recall(&mut self, now: f64, node: NodeId, key: (ScanId, usize, usize), end: End) -> bool {
         let Some(server) = self.servers.get_mut(node) else { return false };
         if let Some(at) = server.batch.iter().position(|p| p.key() == key) {
             self.back.push_back(server.batch.remove(at).unsent(node, end));
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -575,3 +575,13 @@
     drop(broker);
     assert!(wire.rest().is_empty() && other.rest().is_empty());
 }
+
+/// Without leave to cancel nothing is taken back at a node; but its last byte would go out for nobody.
+#[test]
+fn a_half_written_part_goes_no_further_once_its_client_has_gone() {
+    let mut stuck = Stuck::before("fix", &[("/settings/ceilings/cancel", json!(false))]);
+    gone([stuck.first, stuck.second]);
+    let mut length = [0; 4];
+    stuck.wire.0.read_exact(&mut length).unwrap();
+    assert!(stuck.wire.rest().len() < u32::from_be_bytes(length) as usize);
+}
