Each answer of a node that comes in pieces has its own time to be whole

Seen by probe: the time for the rest of a frame began with the first half that was left over and ran on while one answer after the other became whole, as long as each read left the half of the next. A node that answers in pieces lost its connection, and all that was out on it, after the connect limit. Now the time begins anew with each frame that is whole.

Ruled out: the half of a frame of which the rest never comes is still given up in time (the earlier story stands).

Without the mend the new test fails (502 for 200).

--- a/crates/dunepond/src/servers/ends.rs
+++ b/crates/dunepond/src/servers/ends.rs
@@ -37,16 +37,14 @@
                 }
                 Ok(0) => broken.or(Some(Ending::Closed)),
                 Ok(_) if link.api => self.answers(now, id),
-                Ok(_) => self.frames(now, id),
+                Ok(_) => self.frames(now, id, alarms),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => None,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock && broken.is_some() => broken,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if input.is_empty() {
                         link.input = None;
-                        // All of a frame has come; an idle connection's alarm stays.
-                        if let Some(key) = link.alarm.take_if(|key| !self.idle.contains_key(key)) {
-                            alarms.unset(Some(key));
-                        }
+                        // All of an answer has come; an idle connection's alarm stays.
+                        alarms.unset(link.alarm.take_if(|key| !self.idle.contains_key(key)));
                     } else if link.carried.is_empty() {
                         // Half of a frame that nobody waits for: what comes next would be taken for its rest.
                         return self.end(now, id, Ending::Garbled, alarms);
@@ -129,7 +127,7 @@
     }
 
     /// Takes the whole frames out of what has come.
-    fn frames(&mut self, now: f64, id: usize) -> Option<Ending> {
+    fn frames(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<Ending> {
         loop {
             let link = &mut self.links[id];
             let host = self.servers[link.node].name();
@@ -174,7 +172,10 @@
                     return Some(Ending::CutShort);
                 }
             }
+            let link = &mut self.links[id];
             link.input.as_mut()?.consume(used);
+            // The next one has its own time.
+            alarms.unset(link.alarm.take_if(|key| !self.idle.contains_key(key)));
         }
     }
 }
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -585,3 +585,23 @@
     stuck.wire.0.read_exact(&mut length).unwrap();
     assert!(stuck.wire.rest().len() < u32::from_be_bytes(length) as usize);
 }
+
+/// Each read leaves the half of an answer, and each answer is whole in its time.
+#[test]
+fn answers_that_come_in_pieces_have_their_time_one_by_one() {
+    let hand = Hand::start();
+    let keys = [("/settings/ceilings/connectTimeoutMs", json!(1000.0))];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0, 1, 2], "2.8"));
+    let mut wire = hand.accepted();
+    let ends: Vec<_> = (0..3).map(|_| end(&wire.call().id, "hit")).collect();
+    let all = ends.concat();
+    let (one, half) = (ends[0].len(), ends[0].len() / 2);
+    for piece in [&all[..one + half], &all[one + half..2 * one + half], &all[2 * one + half..]] {
+        wire.say(piece);
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    assert_eq!(client.answer().unwrap().status, 200);
+}
