--- a/crates/dunepond/src/servers/ends.rs
+++ b/crates/dunepond/src/servers/ends.rs
@@ -18,23 +18,33 @@
 
 impl Servers {
     pub(super) fn read(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        self.read_on(now, id, None, alarms);
+    }
+
+    /// A connection has broken, as was met in writing: what had come before is read, and then it ends.
+    pub(super) fn read_out(&mut self, now: f64, id: usize, broken: Ending, alarms: &mut Alarms) {
+        self.read_on(now, id, Some(broken), alarms);
+    }
+
+    fn read_on(&mut self, now: f64, id: usize, broken: Option<Ending>, alarms: &mut Alarms) {
         loop {
             let link = &mut self.links[id];
             let input = link.input.get_or_insert_with(|| self.pool.take());
             let ending = match input.read_from(&*link.stream) {
-                // An answer of the API that states no length ends so.
-                Ok(0) if link.message.as_mut().is_some_and(Message::closed) => self.answers(now, id),
-                Ok(0) => Some(Ending::Closed),
+                // An answer of the API that states no length ends so; but a reset that has been told once is told no more.
+                Ok(0) if broken.is_none() && link.message.as_mut().is_some_and(Message::closed) => {
+                    self.answers(now, id)
+                }
+                Ok(0) => broken.or(Some(Ending::Closed)),
                 Ok(_) if link.api => self.answers(now, id),
-                Ok(_) => self.frames(now, id),
+                Ok(_) => self.frames(now, id, alarms),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => None,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && broken.is_some() => broken,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if input.is_empty() {
                         link.input = None;
-                        // All of a frame has come; an idle connection's alarm stays.
-                        if let Some(key) = link.alarm.take_if(|key| !self.idle.contains_key(key)) {
-                            alarms.unset(Some(key));
-                        }
+                        // All of an answer has come; an idle connection's alarm stays.
+                        alarms.unset(link.alarm.take_if(|key| !self.idle.contains_key(key)));
                     } else if link.carried.is_empty() {
                         // Half of a frame that nobody waits for: what comes next would be taken for its rest.
                         return self.end(now, id, Ending::Garbled, alarms);
@@ -117,7 +127,7 @@
     }
 
     /// Takes the whole frames out of what has come.
-    fn frames(&mut self, now: f64, id: usize) -> Option<Ending> {
+    fn frames(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<Ending> {
         loop {
             let link = &mut self.links[id];
             let host = self.servers[link.node].name();
@@ -162,7 +172,10 @@
                     return Some(Ending::CutShort);
                 }
             }
+            let link = &mut self.links[id];
             link.input.as_mut()?.consume(used);
+            // The next one has its own time.
+            alarms.unset(link.alarm.take_if(|key| !self.idle.contains_key(key)));
         }
     }
 }
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -147,15 +147,16 @@
     }
 
     fn call(&mut self, now: f64, node: NodeId, parcels: Vec<Parcel>, alarms: &mut Alarms) {
-        let most = self.bounds.calls_a_connection;
-        let links = &self.servers[node].links;
-        // Half a frame may be all that ever comes on it.
-        let api = self.speaks_api(node);
-        let alone = api || parcels[0].text.body().is_some();
-        let room =
-            |l: &Link| if alone { l.carried.is_empty() } else { !l.is_taken() && l.calls_out() < most };
-        let fit = |l: &Link| !l.retired && l.api == api && l.input.is_none() && room(l);
-        let open = links.iter().copied().find(|id| fit(&self.links[*id]));
+        let mut open = self.fit(now, node, &parcels);
+        // The node may have closed it in this very moment, and what is written to it then may have run for all that we
+        // know: an idle connection is read once more before it is used.
+        while let Some(id) = open.filter(|id| self.links[*id].is_idle()) {
+            self.read(now, id, alarms);
+            if self.links.contains(id) {
+                break;
+            }
+            open = self.fit(now, node, &parcels);
+        }
         let id = match open.map_or_else(|| self.connect(now, node, alarms), Ok) {
             Ok(id) => id,
             Err(Ending::NoDescriptor) => return self.short.push((node, parcels)),
@@ -182,6 +183,22 @@
         }
     }
 
+    /// A connection that can take these parts as one call.
+    fn fit(&self, now: f64, node: NodeId, parcels: &[Parcel]) -> Option<usize> {
+        let (most, api) = (self.bounds.calls_a_connection, self.speaks_api(node));
+        let alone = api || parcels[0].text.body().is_some();
+        let room =
+            |l: &Link| if alone { l.carried.is_empty() } else { !l.is_taken() && l.calls_out() < most };
+        // Half a frame may be all that ever comes on it; and one that is due to be closed may be closed over there.
+        let sound = |l: &Link| !l.retired && l.api == api && l.input.is_none() && !l.is_over(now);
+        // Both of a part's dispatches would have one name there: an end that came twice would be taken for the other's.
+        let again = |l: &Link| parcels.iter().any(|p| p.shot > 0 && l.knows(&p.id));
+        self.servers[node].links.iter().copied().find(|id| {
+            let link = &self.links[*id];
+            sound(link) && room(link) && !again(link)
+        })
+    }
+
     pub(super) fn write(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         // Only parts that must not run twice are judged, and only where that is written down are others looked at.
         let gate = self.gate.as_ref();
@@ -220,8 +237,10 @@
             self.framed.push_back((link.node, out.parcel.key()));
         }
         if let Err(e) = outcome {
-            let late = e.get_ref().is_some_and(|e| e.is::<Late>());
-            self.end(now, id, if late { Ending::CutShort } else { Ending::of(&e) }, alarms);
+            if e.get_ref().is_some_and(|e| e.is::<Late>()) {
+                return self.end(now, id, Ending::CutShort, alarms);
+            }
+            self.read_out(now, id, Ending::of(&e), alarms);
         }
     }
 }
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dunepond_lab::store::{Broker, Client, List, Node, config, scan};
+use rstest::rstest;
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
 
@@ -270,6 +271,17 @@
     }
 }
 
+/// A first scan is served, and its node's connection lies idle after it.
+fn served(broker: &Broker, hand: &Hand) -> (Client, Wire) {
+    let mut client = Client::to(broker);
+    client.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+    (client, wire)
+}
+
 /// Two scans with long texts: the first half written to a node that does not read, the second behind it.
 struct Stuck {
     broker: Broker,
@@ -462,3 +474,134 @@
     assert_eq!(client.answer().unwrap().status, 200);
     assert_eq!(node.frames('A').len(), 1);
 }
+
+/// Asked and closed while the broker stood still, so that it meets both at once, and the request first.
+#[rstest]
+fn an_idle_connection_that_its_node_has_closed_takes_no_part(#[values(false, true)] resets: bool) {
+    let hand = Hand::start();
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let (mut client, mut wire) = served(&broker, &hand);
+    stopped(&broker);
+    left_for(&mut client, &scan("fix", "c2", &[0], "2.5"));
+    wire.ends(resets);
+    broker.signal("CONT");
+    wire = hand.accepted();
+    let call = wire.call();
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+}
+
+/// Its time is up, but the request comes before that is noticed: the node has closed it, or is about to.
+#[test]
+fn a_connection_that_has_been_idle_for_too_long_takes_no_part() {
+    let hand = Hand::start();
+    let (broker, list) =
+        before(vec![hand.line("s-0", "ready")], &[("/settings/ceilings/idleCloseMs", json!(400.0))]);
+    list.wait_read();
+    let (mut client, old) = served(&broker, &hand);
+    stopped(&broker);
+    left_for(&mut client, &scan("fix", "c2", &[0], "2.5"));
+    std::thread::sleep(Duration::from_millis(400));
+    broker.signal("CONT");
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    wire.serve(&call);
+    assert_eq!(client.answer().unwrap().status, 200);
+    assert!(old.rest().is_empty());
+}
+
+/// A node answers and breaks its connection: the answer is in, whichever of the two we meet first.
+#[rstest]
+#[case::in_reading(false)]
+#[case::in_writing_the_next_part(true)]
+fn an_answer_that_came_before_a_reset_is_used(#[case] writes: bool) {
+    let hand = Hand::start();
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let (mut first, mut second) = (Client::to(&broker), Client::to(&broker));
+    first.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    stopped(&broker);
+    if writes {
+        left_for(&mut second, &scan("fix", "c2", &[0], "2.5"));
+    }
+    wire.serve(&call);
+    wire.ends(true);
+    broker.signal("CONT");
+    assert_eq!(first.answer().unwrap().status, 200);
+    if writes {
+        // It never went out, and there is no other node.
+        assert_eq!(second.answer().unwrap().status, 429);
+    }
+}
+
+/// The half of an answer that came before it says nothing.
+#[test]
+fn half_an_answer_before_a_reset_is_none() {
+    let hand = Hand::start();
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &[]);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    let answer = end(&call.id, "hit");
+    wire.say(&answer[..answer.len() - 1]);
+    wire.reset();
+    assert_eq!(client.answer().unwrap().status, 502);
+}
+
+/// The first dispatch's end comes twice, and the second time after the next dispatch is out: that one is still out then.
+#[test]
+fn an_end_that_comes_twice_ends_one_dispatch() {
+    let hand = Hand::start();
+    let keys = [("/settings/ceilings/secondCopies", json!(false))];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.8"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    wire.say(&end(&call.id, "fault"));
+    let mut other = hand.accepted();
+    let again = other.call();
+    assert_eq!(again.id, call.id);
+    wire.say(&end(&call.id, "fault"));
+    settled(&broker);
+    other.serve(&again);
+    assert_eq!(client.answer().unwrap().status, 200);
+    drop(broker);
+    assert!(wire.rest().is_empty() && other.rest().is_empty());
+}
+
+/// Without leave to cancel nothing is taken back at a node; but its last byte would go out for nobody.
+#[test]
+fn a_half_written_part_goes_no_further_once_its_client_has_gone() {
+    let mut stuck = Stuck::before("fix", &[("/settings/ceilings/cancel", json!(false))]);
+    gone([stuck.first, stuck.second]);
+    let mut length = [0; 4];
+    stuck.wire.0.read_exact(&mut length).unwrap();
+    assert!(stuck.wire.rest().len() < u32::from_be_bytes(length) as usize);
+}
+
+/// Each read leaves the half of an answer, and each answer is whole in its time.
+#[test]
+fn answers_that_come_in_pieces_have_their_time_one_by_one() {
+    let hand = Hand::start();
+    let keys = [("/settings/ceilings/connectTimeoutMs", json!(1000.0))];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0, 1, 2], "2.8"));
+    let mut wire = hand.accepted();
+    let ends: Vec<_> = (0..3).map(|_| end(&wire.call().id, "hit")).collect();
+    let all = ends.concat();
+    let (one, half) = (ends[0].len(), ends[0].len() / 2);
+    for piece in [&all[..one + half], &all[one + half..2 * one + half], &all[2 * one + half..]] {
+        wire.say(piece);
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    assert_eq!(client.answer().unwrap().status, 200);
+}
