Cold nodes: token buckets filled by completions, the sum held at N + 2 root N + 2

tests/fleet.rs allowed N + 3 root of N + 3.

Cause (cold.rs): completes() divides the record by the time since its first entry, so that eight parts of one scan are dozens a second soon after it; has_cold_room compares the time since the last part with a turn of that moment's rate, so that any high moment ends it; a floor of floor(room) parts at once follows. And list.rs kept the phase and the last part sent of the earlier process of a node: its turns were long over when it came back under the same id. Ruled out: uneven shares by themselves, a node told late, brokers that know their nodes at 6 and 20 brokers (none fell).

Mend: a token bucket for each cold node, filled by what a warm node completes; no rate is taken. Kept unspent: one token, or our part of twice the root of N.

--- a/crates/dunepond-decide/src/policy/cold.rs
+++ b/crates/dunepond-decide/src/policy/cold.rs
@@ -26,28 +26,32 @@
         self.fleet.iter().map(|f| f.2).sum::<f64>() / (self.now - since).max(self.site.tick)
     }
 
-    /// Our part of what a cold node can take is not used up: a budget over any stated span. A warm node is
-    /// known to take what we see it complete for us, counted over all that are listed and warm, as those that
-    /// we met often are no fair sample; as that holds for every broker, all of them together stay within the
-    /// multiple however unequal they are. In quiet times that is too little to go by, and a warm node takes
-    /// at least one part after the other, whose times are shared out evenly.
-    ///
-    /// Where less than one part is ours, it depends on chance how many brokers send in the same span: each
-    /// waits for a turn of its own from when it was told.
+    /// A token of ours is left for a cold node: one is spent with each part sent there.
     pub(super) fn has_cold_room(&self, node: &Node, held: &Held) -> bool {
         let warmth = node.warmth(&self.site, self.now);
-        let (cold, brokers) = (&self.site.cold, self.site.brokers);
-        if warmth >= 1.0 || self.now - self.owes < cold.span + self.site.tick {
+        if warmth >= 1.0 || self.now - self.owes < self.site.cold.span + self.site.tick {
             return warmth >= 1.0;
         }
-        let rate = self.limits.cold.unwrap_or_else(|| self.completes().max(1.0 / (self.median * brokers)));
+        self.tokens(node, held) >= 1.0
+    }
+
+    /// The bucket of a cold node is filled by what a warm one completes for us meanwhile, counted over all that
+    /// are listed and warm, as those that we met often are no fair sample. Completions are counted and no rate
+    /// is taken of them: so the tokens of all brokers add up to what a warm node did, however unequal and
+    /// however young they are. In quiet times that is too little to go by, and a warm node takes at least one
+    /// part after the other, whose times are shared out evenly.
+    ///
+    /// What is not spent is kept up to one, or to our part of what a fall allows over the rule: all brokers may
+    /// spend it at the same moment. The first token is begun by chance, as where less than one part is ours, it
+    /// depends on chance how many brokers send in the same span.
+    pub(super) fn tokens(&self, node: &Node, held: &Held) -> f64 {
+        let Tokens { left, done, at } = node.tokens;
+        let (past, brokers, cold) = (self.now - at, self.site.brokers, &self.site.cold);
+        let served = (self.done - done).max(past / (self.median * brokers));
+        let (rate, served) = self.limits.cold.map_or((self.completes(), served), |r| (r, r * past));
         let multiple = held.rules.cold_multiple.min(self.rules.cold_multiple);
-        let room = multiple * warmth * cold.span * rate;
-        if room >= 1.0 {
-            return node.sent_cold.iter().filter(|t| **t > self.now - cold.span).count() as f64 + 1.0 <= room;
-        }
-        let turn = cold.span / room;
-        let last = node.sent_cold.back().map_or(node.told - (1.0 - node.phase.unwrap_or(1.0)) * turn, |t| *t);
-        room > 0.0 && self.now - last >= turn
+        let bears = multiple * node.warmth(&self.site, self.now - 0.5 * past);
+        let most = 2.0 * (bears * cold.span * rate / brokers).sqrt();
+        (left + bears * served).min(most.max(1.0))
     }
 }
--- a/crates/dunepond-decide/src/policy/fork.rs
+++ b/crates/dunepond-decide/src/policy/fork.rs
@@ -76,6 +76,7 @@
             idle = 0.0;
         }
         host.dispatch(held.id, part, node);
+        let left = self.nodes[node].as_ref().map_or(0.0, |n| self.tokens(n, held) - 1.0);
         let shots = &mut held.pieces[part].shots;
         shots.push(Shot { node, at: self.now, end: None });
         if let Some(n) = &mut self.nodes[node] {
@@ -83,6 +84,7 @@
             n.outs.push(Out { scan, table_type, part, shot, at: self.now, idle, framed: !held.long });
             n.used = self.now;
             if n.warmth(&self.site, self.now) < 1.0 {
+                n.tokens = Tokens { left, done: self.done, at: self.now };
                 n.sent_cold.push_back(self.now);
                 n.sent_cold.retain(|t| *t >= self.now - self.site.cold.warm_after);
             }
--- a/crates/dunepond-decide/src/policy/handover.rs
+++ b/crates/dunepond-decide/src/policy/handover.rs
@@ -58,7 +58,10 @@
         spent.taken.iter().for_each(|(ago, count)| self.count(self.now - ago, *count));
         for (id, times) in &spent.cold {
             let node = self.nodes.get_mut(*id).and_then(Option::as_mut);
-            node.into_iter().for_each(|n| n.sent_cold.extend(times.iter().map(|ago| self.now - ago)));
+            for n in node.into_iter().filter(|_| !times.is_empty()) {
+                n.sent_cold.extend(times.iter().map(|ago| self.now - ago));
+                n.tokens.left = 0.0;
+            }
         }
     }
 }
--- a/crates/dunepond-decide/src/policy/health.rs
+++ b/crates/dunepond-decide/src/policy/health.rs
@@ -111,6 +111,7 @@
         // usual then would widen the room of all cold nodes.
         if served && warmth >= 1.0 {
             keep_last(&mut self.fleet, (took, self.now, 1.0 / self.warm as f64), FLEET_SAMPLES);
+            self.done += 1.0 / self.warm as f64;
         }
         let sample = Sample { table_type, sent, took, at: now, served, fault: !served && !withdrawn };
         keep_last(&mut node.samples, sample, NODE_SAMPLES);
--- a/crates/dunepond-decide/src/policy/list.rs
+++ b/crates/dunepond-decide/src/policy/list.rs
@@ -16,19 +16,19 @@
             if self.nodes[row.node].is_none() {
                 self.cells[row.cell % self.site.cells].push(row.node);
             }
-            let node = self.nodes[row.node].get_or_insert_with(|| Node::new(row, self.now));
+            let cold = self.now - row.started < self.site.cold.warm_after;
+            let left = if cold { self.rng.random() } else { 0.0 };
+            let tokens = Tokens { left, done: self.done, at: self.now };
+            let node = self.nodes[row.node].get_or_insert_with(|| Node::new(row, tokens));
             node.standing = row.standing;
             if row.started > node.started {
                 // A new process under the old name: what we hold against the old one says nothing of it.
                 node.started = row.started;
-                node.told = self.now;
+                node.tokens = tokens;
                 node.samples.clear();
                 node.ghosts.clear();
                 node.aside = None;
             }
-            if node.phase.is_none() && node.warmth(&self.site, self.now) < 1.0 {
-                node.phase = Some(self.rng.random());
-            }
         }
         self.count_warm();
         self.arm(host);
--- a/crates/dunepond-decide/src/policy/mod.rs
+++ b/crates/dunepond-decide/src/policy/mod.rs
@@ -28,7 +28,7 @@
 use rand::RngExt;
 
 pub use crate::state::Broker;
-use crate::state::{Aside, Held, Node, Out, Piece, Sample, Shot, keep_last};
+use crate::state::{Aside, Held, Node, Out, Piece, Sample, Shot, Tokens, keep_last};
 use crate::{
     Beliefs, Deployment, End, Ended, Host, Ledger, Listed, NodeBelief, NodeId, Part, Repeat, Rules, Scan,
     ScanId, Standing,
--- a/crates/dunepond-decide/src/state.rs
+++ b/crates/dunepond-decide/src/state.rs
@@ -28,6 +28,8 @@
     /// after a crash of many the list is short, and what all of them did would be taken for what few do.
     pub(crate) fleet: VecDeque<(f64, f64, f64)>,
     pub(crate) warm: usize,
+    /// What a warm node has completed for us, in parts.
+    pub(crate) done: f64,
     /// Benefit for the work of the last scans that came.
     pub(crate) density: VecDeque<f64>,
     /// Scans taken within its share, by customer.
@@ -138,13 +140,19 @@
     pub room: usize,
 }
 
+/// The token bucket of a cold node: what was left in it, and what a warm node had completed for us, at a time.
+#[derive(Clone, Copy)]
+pub struct Tokens {
+    pub left: f64,
+    pub done: f64,
+    pub at: f64,
+}
+
 pub struct Node {
     pub zone: usize,
     pub standing: Standing,
     pub started: f64,
-    /// When we were told of its start, and how much of a turn we let pass before our own first.
-    pub told: f64,
-    pub phase: Option<f64>,
+    pub tokens: Tokens,
     pub heard: f64,
     /// When something was last sent to it or came back.
     pub used: f64,
@@ -188,6 +196,7 @@
             zone_usual: Vec::new(),
             fleet: VecDeque::new(),
             warm: 1,
+            done: 0.0,
             density: VecDeque::new(),
             within: site.quotas.iter().map(|_| VecDeque::new()).collect(),
             full_try: Vec::new(),
@@ -286,13 +295,12 @@
     }
 
     /// A node as it is first listed.
-    pub fn new(row: &Listed, now: f64) -> Self {
+    pub fn new(row: &Listed, tokens: Tokens) -> Self {
         Self {
             zone: row.zone,
             standing: row.standing,
             started: row.started,
-            told: now,
-            phase: None,
+            tokens,
             heard: f64::MIN,
             used: f64::MAX,
             refused: f64::MIN,
--- a/crates/dunepond-decide/tests/fleet.rs
+++ b/crates/dunepond-decide/tests/fleet.rs
@@ -18,13 +18,23 @@
     Silent,
 }
 
+/// A part as it reached a node.
+struct Sent {
+    at: f64,
+    node: NodeId,
+    /// In units of mean work.
+    work: f64,
+    /// Its broker had heard of the node's start.
+    told: bool,
+}
+
 /// The nodes that all brokers share: what each was sent and when.
 struct Nodes {
     natures: Vec<Nature>,
     started: Vec<f64>,
     /// When each of a node's two workers is through with what it has.
     busy: Vec<[f64; 2]>,
-    sent: Vec<(f64, NodeId)>,
+    sent: Vec<Sent>,
     /// Connections given up: what goes there next is a new handshake.
     closed: Vec<(f64, NodeId)>,
 }
@@ -37,6 +47,10 @@
     shots: Vec<(ScanId, usize, usize, f64)>,
     finals: Vec<ScanId>,
     wakes: Vec<f64>,
+    /// The start of each node that this broker has heard of.
+    heard: Vec<f64>,
+    /// The work of a part, by scan.
+    works: Vec<f64>,
 }
 
 impl Host for Desk {
@@ -48,12 +62,13 @@
         let shot = self.shots.iter().filter(|s| (s.0, s.1) == (scan, part)).count();
         self.shots.push((scan, part, node, self.now));
         let mut nodes = self.nodes.borrow_mut();
-        nodes.sent.push((self.now, node));
+        let (work, told) = (self.works[scan as usize - 1], self.heard[node] >= nodes.started[node]);
+        nodes.sent.push(Sent { at: self.now, node, work, told });
         if nodes.natures[node] == Nature::Sound {
             let warmth = (0.2 + 0.8 * (self.now - nodes.started[node]) / 15.0).min(1.0);
             let busy = &mut nodes.busy[node];
             let worker = usize::from(busy[1] < busy[0]);
-            busy[worker] = busy[worker].max(self.now) + 0.02 / warmth;
+            busy[worker] = busy[worker].max(self.now) + 0.02 * work / warmth;
             let took = busy[worker] - self.now;
             let ended = Ended { scan, part, shot, node, end: End::Completed, took };
             self.due.push((busy[worker], ended));
@@ -86,12 +101,25 @@
     fn log(&mut self, _: &str) {}
 }
 
+/// A second of a cold node's time, from so long after its start.
+#[derive(Debug)]
+struct Second {
+    from: f64,
+    got: f64,
+    told: f64,
+    n: f64,
+}
+
 struct Fleet {
     now: f64,
     brokers: Vec<(Broker, Desk)>,
     nodes: Rc<RefCell<Nodes>>,
     rng: Pcg64Mcg,
     asked: Vec<ScanId>,
+    /// How many of the scans come to each broker, against the others.
+    shares: Vec<f64>,
+    /// How many scans have parts of more than mean work, and how much these and the others have: 1 in the mean.
+    works: (f64, f64, f64),
 }
 
 fn site(seed: u64, brokers: usize, nodes: usize, budget: Option<FurtherBudget>) -> Deployment {
@@ -127,6 +155,27 @@
     }
 }
 
+fn process(
+    seed: u64,
+    now: f64,
+    brokers: usize,
+    shared: &Rc<RefCell<Nodes>>,
+    budget: &Option<FurtherBudget>,
+) -> (Broker, Desk) {
+    let nodes = shared.borrow().natures.len();
+    let desk = Desk {
+        now,
+        nodes: shared.clone(),
+        due: Vec::new(),
+        shots: Vec::new(),
+        finals: Vec::new(),
+        wakes: Vec::new(),
+        heard: vec![0.0; nodes],
+        works: Vec::new(),
+    };
+    (Broker::new(site(seed, brokers, nodes, budget.clone())), desk)
+}
+
 impl Fleet {
     fn new(brokers: usize, nodes: usize, budget: Option<FurtherBudget>) -> Self {
         let shared = Rc::new(RefCell::new(Nodes {
@@ -136,37 +185,50 @@
             sent: Vec::new(),
             closed: Vec::new(),
         }));
-        let one = |id: usize| {
-            let desk = Desk {
-                now: 100.0,
-                nodes: shared.clone(),
-                due: Vec::new(),
-                shots: Vec::new(),
-                finals: Vec::new(),
-                wakes: Vec::new(),
-            };
-            (Broker::new(site(id as u64, brokers, nodes, budget.clone())), desk)
+        let mut fleet = Self {
+            now: 100.0,
+            brokers: (0..brokers).map(|id| process(id as u64, 100.0, brokers, &shared, &budget)).collect(),
+            nodes: shared,
+            rng: Pcg64Mcg::seed_from_u64(5),
+            asked: vec![0; brokers],
+            shares: vec![1.0; brokers],
+            works: (0.0, 1.0, 1.0),
         };
-        let brokers = (0..brokers).map(one).collect::<Vec<_>>();
-        let asked = vec![0; brokers.len()];
-        let rng = Pcg64Mcg::seed_from_u64(5);
-        let mut fleet = Self { now: 100.0, brokers, nodes: shared, rng, asked };
         fleet.list(&(0..nodes).map(|n| (n, 0.0)).collect::<Vec<_>>());
         fleet
     }
 
     /// All brokers hear at the same time when these nodes started.
     fn list(&mut self, started: &[(NodeId, f64)]) {
-        let row = |&(node, started): &(NodeId, f64)| Listed {
-            node,
-            cell: node,
-            zone: node % 3,
-            standing: Standing::Active,
-            started,
-        };
-        let rows: Vec<_> = started.iter().map(row).collect();
         started.iter().for_each(|(node, at)| self.nodes.borrow_mut().started[*node] = *at);
-        self.brokers.iter_mut().for_each(|(broker, desk)| broker.listed(desk, false, &rows));
+        (0..self.brokers.len()).for_each(|id| self.tell(id, started));
+    }
+
+    /// One broker hears when these nodes started.
+    fn tell(&mut self, id: usize, started: &[(NodeId, f64)]) {
+        self.tell_as(id, started, Standing::Active);
+    }
+
+    /// One broker hears how these nodes stand.
+    fn tell_as(&mut self, id: usize, started: &[(NodeId, f64)], standing: Standing) {
+        let row =
+            |&(node, started): &(NodeId, f64)| Listed { node, cell: node, zone: node % 3, standing, started };
+        let rows: Vec<_> = started.iter().map(row).collect();
+        let (broker, desk) = &mut self.brokers[id];
+        desk.now = self.now;
+        started.iter().for_each(|(node, at)| desk.heard[*node] = *at);
+        broker.listed(desk, false, &rows);
+    }
+
+    /// Other processes take the places of these brokers and hear the whole list; what the old ones held has gone.
+    fn restart(&mut self, ids: impl Iterator<Item = usize>) {
+        let started: Vec<_> = self.nodes.borrow().started.iter().copied().enumerate().collect();
+        for id in ids {
+            let seed = (1000 + id) as u64;
+            self.brokers[id] = process(seed, self.now, self.brokers.len(), &self.nodes, &None);
+            self.asked[id] = 0;
+            self.tell(id, &started);
+        }
     }
 
     /// Lets the clock run; so many scans a second come to the fleet, each at some broker and of some segments
@@ -179,7 +241,7 @@
             let mut left = scans * TICK;
             while left > 0.0 {
                 if self.rng.random::<f64>() < left.min(1.0) {
-                    comes[self.rng.random_range(0..self.brokers.len())] += 1;
+                    comes[self.whose()] += 1;
                 }
                 left -= 1.0;
             }
@@ -197,6 +259,9 @@
                     self.asked[id] += 1;
                     let cells = self.nodes.borrow().natures.len();
                     let first = self.rng.random_range(0..cells);
+                    let (heavy, more, less) = self.works;
+                    let work = if heavy > 0.0 && self.rng.random::<f64>() < heavy { more } else { less };
+                    desk.works.push(work);
                     let part = |j| Part { seg: (first + j) % cells, weight: 1.0 / parts as f64, only: None };
                     let scan = Scan {
                         id: self.asked[id],
@@ -216,17 +281,37 @@
         }
     }
 
-    /// The fullest second at a node since its start: what it got, and N, what the settings let it get then. A warm
-    /// node does a hundred parts a second (two at a time, 0.02 s each), one that just started a fifth of it.
-    fn fullest_second(&self, node: NodeId, started: f64) -> (f64, f64) {
+    /// The broker that the next scan comes to.
+    fn whose(&mut self) -> usize {
+        if self.shares.iter().all(|s| *s == 1.0) {
+            return self.rng.random_range(0..self.shares.len());
+        }
+        let mut at = self.rng.random::<f64>() * self.shares.iter().sum::<f64>();
+        let last = self.shares.len() - 1;
+        let found = self.shares.iter().position(|s| {
+            at -= s;
+            at < 0.0
+        });
+        found.unwrap_or(last)
+    }
+
+    /// The fullest second at a node from its start to its next: the work it got, in units of mean work, how much of
+    /// it came from brokers that had heard of the start, and N, what the settings let it get then. A warm node does
+    /// a hundred parts of mean work a second (two at a time, 0.02 s each), one that just started a fifth of it.
+    fn fullest_second(&self, node: NodeId, started: f64, until: f64) -> Second {
         let nodes = self.nodes.borrow();
-        let at: Vec<f64> = nodes.sent.iter().filter(|s| s.1 == node && s.0 >= started).map(|s| s.0).collect();
-        let second = |t: &f64| {
-            let got = at.iter().filter(|u| (*t..t + 1.0).contains(*u)).count() as f64;
-            (got, 2.5 * 100.0 * (0.2 + 0.8 * (t - started) / 15.0))
+        let mut sent: Vec<&Sent> = nodes.sent.iter().filter(|s| s.node == node).collect();
+        sent.retain(|s| (started..until).contains(&s.at));
+        let second = |first: &&Sent| {
+            let (from, n) = (first.at, 2.5 * 100.0 * (0.2 + 0.8 * (first.at - started) / 15.0).min(1.0));
+            let inside = sent.iter().filter(|s| (from..from + 1.0).contains(&s.at));
+            let told = inside.clone().filter(|s| s.told).map(|s| s.work).sum();
+            Second { from: from - started, got: inside.map(|s| s.work).sum(), told, n }
         };
-        let share = |s: &(f64, f64)| s.0 / s.1;
-        at.iter().map(second).max_by(|a, b| share(a).total_cmp(&share(b))).unwrap_or((0.0, 1.0))
+        // What those who had not been told sent breaks no rule where it is over a third of a fall.
+        let share = |s: &Second| s.got.min(1.5 * s.told) / falls_above(s.n);
+        let fullest = sent.iter().map(second).max_by(|a, b| share(a).total_cmp(&share(b)));
+        fullest.unwrap_or(Second { from: 0.0, got: 0.0, told: 0.0, n: 1.0 })
     }
 
     fn each_scan_was_answered_once(&self) {
@@ -240,7 +325,7 @@
 
 /// What a cold node falls at, N being what the settings allow it: more than this in the span, all brokers together.
 fn falls_above(n: f64) -> f64 {
-    n + 3.0 * n.sqrt() + 3.0
+    n + 2.0 * n.sqrt() + 2.0
 }
 
 /// Half of the nodes start anew, side by side, so that some segments have cold holders only. The brokers know their
@@ -262,7 +347,7 @@
     fleet.list(&(0..6).map(|n| (n, now)).collect::<Vec<_>>());
     fleet.run(4.0, scans, 8);
     for node in 0..6 {
-        let (got, n) = fleet.fullest_second(node, now);
+        let Second { got, n, .. } = fleet.fullest_second(node, now, f64::MAX);
         assert!(got > 0.0 && got <= falls_above(n), "node {node} falls: {got}, {n} allowed");
         // Of its slack a third is for brokers that have met their nodes, all for those that are as new as the nodes.
         assert!(known < 1.0 || got <= n + n.sqrt(), "node {node}: {got}, {n} allowed");
@@ -271,6 +356,132 @@
     fleet.each_scan_was_answered_once();
 }
 
+/// How scans and their work come to the brokers.
+#[derive(Clone, Copy, Debug)]
+enum Load {
+    Even,
+    /// One broker in six sees over three times the mean.
+    Uneven,
+    /// A quarter of the scans have parts of 2.2 times mean work, the others of 0.6.
+    Work,
+}
+
+/// What happens to the brokers while half of the nodes start.
+#[derive(Clone, Copy, Debug)]
+enum Story {
+    BrokersAsNew,
+    /// All brokers are other processes from the nodes' start on.
+    Restarted,
+    /// Seven in ten are, a second after it.
+    RestartedLater,
+    /// They hear of the start one tenth after the other, for two seconds.
+    ToldLate,
+    /// The nodes start again under the same ids, eight seconds later.
+    SameIds,
+    /// Fifteen times the scans come three seconds after the start.
+    Burst,
+    /// Two of three holders are gone four seconds after the start.
+    HoldersLost,
+}
+
+impl Story {
+    /// Plays it, and gives the nodes that started and the times between their starts.
+    fn play(self, fleet: &mut Fleet) -> (Vec<NodeId>, Vec<(f64, f64)>) {
+        let brokers = fleet.brokers.len();
+        let before = match self {
+            Self::BrokersAsNew => (0.8, 90.0),
+            Self::Burst => (3.0, 10.0),
+            _ => (3.0, 90.0),
+        };
+        fleet.run(before.0, before.1, 8);
+        let step = if matches!(self, Self::HoldersLost) { 3 } else { 1 };
+        let nodes: Vec<NodeId> = (0..6).step_by(step).collect();
+        let start = fleet.now;
+        let started = |at: f64| nodes.iter().map(|n| (*n, at)).collect::<Vec<_>>();
+        if !matches!(self, Self::ToldLate) {
+            fleet.list(&started(start));
+        }
+        let mut starts = vec![start];
+        match self {
+            Self::BrokersAsNew => fleet.run(2.5, 90.0, 8),
+            Self::Restarted => {
+                fleet.restart(0..brokers);
+                fleet.run(2.5, 90.0, 8);
+            }
+            Self::RestartedLater => {
+                fleet.run(1.0, 90.0, 8);
+                fleet.restart((0..brokers).filter(|id| id % 10 < 7));
+                fleet.run(2.0, 90.0, 8);
+            }
+            Self::ToldLate => {
+                nodes.iter().for_each(|n| fleet.nodes.borrow_mut().started[*n] = start);
+                for tenth in 0..10 {
+                    (0..brokers).filter(|id| id % 10 == tenth).for_each(|id| fleet.tell(id, &started(start)));
+                    fleet.run(0.2, 90.0, 8);
+                }
+                fleet.run(1.0, 90.0, 8);
+            }
+            Self::SameIds => {
+                fleet.run(8.0, 90.0, 8);
+                starts.push(fleet.now);
+                fleet.list(&started(fleet.now));
+                fleet.run(2.0, 90.0, 8);
+            }
+            Self::Burst => {
+                fleet.run(3.0, 10.0, 8);
+                fleet.run(1.5, 150.0, 8);
+            }
+            Self::HoldersLost => {
+                fleet.run(4.0, 90.0, 8);
+                let lost = [(1, 0.0), (2, 0.0), (4, 0.0), (5, 0.0)];
+                (0..brokers).for_each(|id| fleet.tell_as(id, &lost, Standing::Gone));
+                fleet.run(1.5, 90.0, 8);
+            }
+        }
+        let ends: Vec<f64> = starts[1..].iter().copied().chain([fleet.now]).collect();
+        (nodes, starts.into_iter().zip(ends).collect())
+    }
+}
+
+/// Counted in mean work. A fall is the brokers' where over two thirds of it came from those that had been told.
+#[rstest]
+fn a_cold_node_does_not_fall(
+    #[values(6, 20, 30, 150, 300)] brokers: usize,
+    #[values(Load::Even, Load::Uneven, Load::Work)] load: Load,
+    #[values(
+        Story::BrokersAsNew,
+        Story::Restarted,
+        Story::RestartedLater,
+        Story::ToldLate,
+        Story::SameIds,
+        Story::Burst,
+        Story::HoldersLost
+    )]
+    story: Story,
+) {
+    let mut fleet = Fleet::new(brokers, 12, None);
+    // Of sixteen draws of the scans the one at which rates and turns, which this replaced, fell most often.
+    fleet.rng = Pcg64Mcg::seed_from_u64(9);
+    if matches!(load, Load::Uneven) {
+        fleet.shares = (0..brokers).map(|id| if id % 6 == 0 { 5.0 } else { 0.6 }).collect();
+    }
+    if matches!(load, Load::Work) {
+        fleet.works = (0.25, 2.2, 0.6);
+    }
+    let (nodes, times) = story.play(&mut fleet);
+    for node in nodes {
+        for (start, until) in &times {
+            let Second { from, got, told, n } = fleet.fullest_second(node, *start, *until);
+            let falls = got > falls_above(n) && told * 3.0 > got * 2.0;
+            assert!(
+                !falls,
+                "node {node} falls {from:.1} s after its start: {got:.1}, {told:.1} told, N {n:.1}"
+            );
+            assert!(got > 0.0, "node {node} got nothing");
+        }
+    }
+}
+
 /// A third of the nodes falls silent and comes back cold, while all brokers have set them aside and hold work for
 /// which they are the second choice: trials and what follows them count like any other part.
 #[rstest]
@@ -286,7 +497,7 @@
     fleet.list(&(0..12).step_by(3).map(|n| (n, now)).collect::<Vec<_>>());
     fleet.run(5.0, scans, 8);
     for node in (0..12).step_by(3) {
-        let (got, n) = fleet.fullest_second(node, now);
+        let Second { got, n, .. } = fleet.fullest_second(node, now, f64::MAX);
         assert!(got > 0.0 && got <= n, "node {node}: {got}, {n} allowed");
     }
     fleet.run(2.5, 0.0, 8);
@@ -303,11 +514,11 @@
     fleet.run(8.0, 60.0, 4);
     let late = fleet.now - 4.0;
     let nodes = fleet.nodes.borrow();
-    let silent = nodes.sent.iter().filter(|s| s.0 >= late && s.1 % 3 == 0).count();
-    let all = nodes.sent.iter().filter(|s| s.0 >= late).count();
+    let silent = nodes.sent.iter().filter(|s| s.at >= late && s.node % 3 == 0).count();
+    let all = nodes.sent.iter().filter(|s| s.at >= late).count();
     // A new handshake there follows a trial that was met with silence, and nothing else.
     let closed = nodes.closed.iter().filter(|c| c.0 >= late).count();
-    let tried = nodes.sent.iter().filter(|s| s.0 >= late - 1.0 && s.1 % 3 == 0).count();
+    let tried = nodes.sent.iter().filter(|s| s.at >= late - 1.0 && s.node % 3 == 0).count();
     drop(nodes);
     assert!(silent * 7 < all, "{silent} of {all}");
     assert!(closed <= tried, "{closed} connections for {tried} trials");
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -1242,6 +1242,8 @@
     let now = town.host.now;
     town.list(false, &[row(1, Standing::Active, now - 1.0)]);
     assert_eq!(town.broker.to_ask(0).collect::<Vec<_>>(), [2]);
+    // The cold node's room is there after half a second, whatever the seed; it stays in service longest.
+    town.run(0.5);
     town.host.nodes = vec![Some((End::Completed, 1.5)); 6];
     for i in 0..4 {
         town.scan(FULL, &[i, i + 2]);
