A connection carries as many parts as the settings say, not as many calls

At fault: servers/frames.rs, which counted calls (calls_out) and let a call be larger than a connection takes: what is beyond waits unread at the node, the time that it tells runs out there, and its cancel waits behind it.

All four cases of tests/streams.rs failed without the mend. Bounds.calls_a_connection is parts_a_connection.

--- a/crates/dunepond-settings/src/lib.rs
+++ b/crates/dunepond-settings/src/lib.rs
@@ -214,7 +214,7 @@
     /// Scans and parts held at most; absent where none is stated.
     pub most_held: Option<usize>,
     pub parts_a_call: usize,
-    pub calls_a_connection: usize,
+    pub parts_a_connection: usize,
     pub idle_close: f64,
     pub connect_timeout: f64,
 }
@@ -236,7 +236,7 @@
             .filter(|most| *most > 0)
             .map(|most| most as usize),
         parts_a_call: settings.count_or("familyInfo.partsACall", 1)?.max(1) as usize,
-        calls_a_connection: settings.some("ceilings.streamsPerConn")?,
+        parts_a_connection: settings.some("ceilings.streamsPerConn")?,
         idle_close: settings.seconds("ceilings.idleCloseMs")?,
         connect_timeout: settings.seconds("ceilings.connectTimeoutMs")?,
     })
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -114,7 +114,7 @@
                 let mut parcels = vec![first];
                 // A body goes alone, on a connection that it has for itself; so does each part where the API is spoken.
                 if parcels[0].text.body().is_none() && !api {
-                    while parcels.len() < self.bounds.parts_a_call
+                    while parcels.len() < self.bounds.parts_a_call.min(self.bounds.parts_a_connection)
                         && let Some(next) = batch.next_if(|p| p.text.body().is_none())
                     {
                         parcels.push(next);
@@ -185,10 +185,16 @@
 
     /// A connection that can take these parts as one call.
     fn fit(&self, now: f64, node: NodeId, parcels: &[Parcel]) -> Option<usize> {
-        let (most, api) = (self.bounds.calls_a_connection, self.speaks_api(node));
+        // What is beyond it waits unread at the node: the time that it tells runs out there, and its cancel waits behind it.
+        let (most, api) = (self.bounds.parts_a_connection, self.speaks_api(node));
         let alone = api || parcels[0].text.body().is_some();
-        let room =
-            |l: &Link| if alone { l.carried.is_empty() } else { !l.is_taken() && l.calls_out() < most };
+        let room = |l: &Link| {
+            if alone {
+                l.carried.is_empty()
+            } else {
+                !l.is_taken() && l.carried.len() + parcels.len() <= most
+            }
+        };
         // Half a frame may be all that ever comes on it; and one that is due to be closed may be closed over there.
         let sound = |l: &Link| !l.retired && l.api == api && l.input.is_none() && !l.is_over(now);
         // Both of a part's dispatches would have one name there: an end that came twice would be taken for the other's.
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -187,12 +187,6 @@
         self.is_idle() && self.alarm.is_some_and(|key| clock::is_due(key, now))
     }
 
-    /// Calls that are out, each in one stretch of what is carried.
-    fn calls_out(&self) -> usize {
-        let mut last = None;
-        self.carried.iter().filter(|o| last.replace(o.call) != Some(o.call)).count()
-    }
-
     /// The frame of a body is on its way, or the next thing to go: whatever came behind it would wait for all of it.
     fn is_taken(&self) -> bool {
         self.out.body().is_some()
--- /dev/null
+++ b/crates/dunepond/tests/streams.rs
@@ -0,0 +1,30 @@
+//! What a connection to a node carries at once: parts, however many of them make a call.
+
+use dunepond_lab::store::{Broker, Client, Manner, Node, config, scan};
+use rstest::rstest;
+use serde_json::json;
+
+/// What is beyond the number waits unread at the node, behind it its cancel, and the time that it tells runs out.
+#[rstest]
+#[case::a_call_fills_a_connection(2, 2, &[2, 2, 2])]
+#[case::a_connection_carries_less_than_a_call_may_hold(2, 4, &[2, 2, 2])]
+#[case::a_call_that_does_not_fit_goes_on_another(3, 2, &[2, 2, 2])]
+#[case::two_calls_fit(4, 2, &[4, 2])]
+fn a_connection_carries_as_many_parts_as_the_settings_say(
+    #[case] streams: usize,
+    #[case] a_call: usize,
+    #[case] on_each: &[usize],
+) {
+    let node = Node::start("n0");
+    node.behave(Manner::Hang);
+    let list = dunepond_lab::store::List::start(vec![node.line("ready")]);
+    let mut told = config(list.address, vec![node.line("ready")]);
+    *told.pointer_mut("/settings/ceilings/streamsPerConn").unwrap() = json!(streams);
+    *told.pointer_mut("/settings/familyInfo/partsACall").unwrap() = json!(a_call);
+    let broker = Broker::start(&told);
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0, 1, 2, 3, 4, 5], "2.0"));
+    node.wait_for('A', 3);
+    let parts: Vec<_> = node.frames('A').iter().map(|f| f.matches(" d=").count()).collect();
+    assert_eq!((parts, node.connections()), (vec![2, 2, 2], on_each.len()));
+}
