Cold nodes' buckets keep up to half of our part of a span

Cause: cold.rs tokens kept one token at most where brokers are few, so that a scan of many parts had one for each cold node, and what came in between two scans was lost: parts whose holders are all cold waited to the end.

Kept now, if that is more: half of our part of a span.

--- a/crates/dunepond-decide/src/policy/cold.rs
+++ b/crates/dunepond-decide/src/policy/cold.rs
@@ -51,7 +51,8 @@
         let (rate, served) = self.limits.cold.map_or((self.completes(), served), |r| (r, r * past));
         let multiple = held.rules.cold_multiple.min(self.rules.cold_multiple);
         let bears = multiple * node.warmth(&self.site, self.now - 0.5 * past);
-        let most = 2.0 * (bears * cold.span * rate / brokers).sqrt();
+        let part = bears * cold.span * rate;
+        let most = (2.0 * (part / brokers).sqrt()).max(0.5 * part);
         (left + bears * served).min(most.max(1.0))
     }
 }
