--- a/crates/dunepond-decide/src/policy/cold.rs
+++ b/crates/dunepond-decide/src/policy/cold.rs
@@ -41,9 +41,9 @@
     /// however young they are. In quiet times that is too little to go by, and a warm node takes at least one
     /// part after the other, whose times are shared out evenly.
     ///
-    /// What is not spent is kept up to one, or to our part of what a fall allows over the rule: all brokers may
-    /// spend it at the same moment. The first token is begun by chance, as where less than one part is ours, it
-    /// depends on chance how many brokers send in the same span.
+    /// What is not spent is kept up to one, to our part of what a fall allows over the rule, or to half of our part of
+    /// a span: all brokers may spend it at the same moment, and a scan of many parts asks for several at once. The
+    /// first token is begun by chance, as where less than one part is ours, it depends on chance how many send.
     pub(super) fn tokens(&self, node: &Node, held: &Held) -> f64 {
         let Tokens { left, done, at } = node.tokens;
         let (past, brokers, cold) = (self.now - at, self.site.brokers, &self.site.cold);
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -232,6 +232,26 @@
     assert!((1..=12).contains(&most.unwrap_or(0)), "{most:?}");
 }
 
+/// Of six brokers one sees a warm node complete some sixteen parts a second, so that eight are its part of what a cold
+/// one bears in that time. A scan of many parts asks for several of them at once, and the next comes much later.
+#[test]
+fn several_parts_at_once_get_what_a_cold_node_was_not_sent_before() {
+    let mut town = Town::new(Deployment { brokers: 6.0, ..site() });
+    town.traffic(FULL, 10.0, 0.01);
+    let now = town.host.now;
+    town.list(false, &[row(0, Standing::Active, now)]);
+    for turn in 0..150 {
+        town.owned(FULL, 1 + turn % 5, 1 + turn % 5);
+        town.run(0.01);
+    }
+    assert_eq!(town.to_node(0, now), 0);
+    for _ in 0..8 {
+        town.owned(FULL, 0, 0);
+    }
+    let got = town.to_node(0, now);
+    assert!((4..=8).contains(&got), "{got}");
+}
+
 /// Six parts come back before a broker's first wake, and no wake comes for a while: neither makes them hundreds a
 /// second for one node.
 #[test]
