A look ahead leaves an empty buffer where it was: an empty raw body was never whole

Cause: clients/hangup.rs look, called between the head of a raw request and its body, dropped an input buffer that held nothing; decode takes a body of length 0 out of a buffer that is there, and nothing more ever came to bring one. Ruled out: the chunked case, which has bytes to read.

--- a/crates/dunepond/src/clients/hangup.rs
+++ b/crates/dunepond/src/clients/hangup.rs
@@ -57,6 +57,8 @@
     fn look(&mut self, id: usize) -> Option<Ending> {
         let client = &mut self.clients[id];
         let paced = client.more || matches!(&client.phase, Phase::Raw(raw) if !raw.all);
+        // A body of no length is taken out of a buffer that is there and holds nothing.
+        let had = client.input.is_some();
         for _ in 0..READS {
             let full = client.input.as_ref().map_or(self.pool.out() >= self.most_buffers, Buffer::is_full);
             if paced || full {
@@ -69,7 +71,7 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     client.readable = false;
-                    if input.is_empty() {
+                    if input.is_empty() && !had {
                         client.input = None;
                     }
                     return None;
