A lone broker sends a new node its first part at once

Reproduced alone, each time; not a race. Ruled out: the adapter (the list is heard, the start read), the simulator's wire (the same orders come later, by wakes).

--- a/crates/dunepond-decide/src/policy/cold.rs
+++ b/crates/dunepond-decide/src/policy/cold.rs
@@ -18,32 +18,32 @@
         self.warm = listed.filter(|n| n.warmth(&self.site, self.now) >= 1.0).count().max(1);
     }
 
-    /// What a warm node completes for us each second, at this moment: as of the last wake it would stay what it
-    /// was in the last rush. Counted over a whole span at least, or since our start, brokers that are as new as
-    /// their nodes would send these next to nothing while the old ones are full.
+    /// What a warm node completes for us each second, at this moment: as of the last wake it would stay what
+    /// it was in the last rush. Counted over a whole span at least, or since our start, new brokers would
+    /// send new nodes next to nothing while the old ones are full.
     pub(crate) fn completes(&self) -> f64 {
         let since = self.fleet.front().map_or(0.0, |f| f.1);
         self.fleet.iter().map(|f| f.2).sum::<f64>() / (self.now - since).max(self.site.tick)
     }
 
-    /// A token of ours is left for a cold node: one is spent with each part sent there.
+    /// A token of ours is left for a cold node; all brokers together may be one part ahead of theirs.
     pub(super) fn has_cold_room(&self, node: &Node, held: &Held) -> bool {
         let warmth = node.warmth(&self.site, self.now);
         if warmth >= 1.0 || self.now - self.owes < self.site.cold.span + self.site.tick {
             return warmth >= 1.0;
         }
-        self.tokens(node, held) >= 1.0
+        self.tokens(node, held) + self.limits.cold.map_or(1.0 / self.site.brokers, |_| 0.0) >= 1.0
     }
 
-    /// The bucket of a cold node is filled by what a warm one completes for us meanwhile, counted over all that
-    /// are listed and warm, as those that we met often are no fair sample. Completions are counted and no rate
-    /// is taken of them: so the tokens of all brokers add up to what a warm node did, however unequal and
-    /// however young they are. In quiet times that is too little to go by, and a warm node takes at least one
-    /// part after the other, whose times are shared out evenly.
+    /// A cold node's bucket is filled by what a warm one completes for us meanwhile, counted over all that
+    /// are listed and warm, as those that we met often are no fair sample. Completions are counted and no
+    /// rate is taken: so the tokens of all brokers add up to what a warm node did, however unequal and young
+    /// they are. In quiet times that is too little to go by: a warm node takes at least one part after the
+    /// other, and their times are shared evenly.
     ///
-    /// What is not spent is kept up to one, to our part of what a fall allows over the rule, or to half of our part of
-    /// a span: all brokers may spend it at the same moment, and a scan of many parts asks for several at once. The
-    /// first token is begun by chance, as where less than one part is ours, it depends on chance how many send.
+    /// What is not spent is kept up to one, to our part of what a fall allows over the rule, or to half of
+    /// our part of a span: all brokers may spend it at the same moment, and a scan of many parts asks for
+    /// several. The first token is begun by chance: where less than one part is ours, it says how many send.
     pub(super) fn tokens(&self, node: &Node, held: &Held) -> f64 {
         let Tokens { left, done, at } = node.tokens;
         let (past, brokers, cold) = (self.now - at, self.site.brokers, &self.site.cold);
--- a/crates/dunepond-decide/tests/stories.rs
+++ b/crates/dunepond-decide/tests/stories.rs
@@ -1381,3 +1381,13 @@
     let further: usize = scans.iter().map(|scan| second.sent(*scan).len() - 1).sum();
     assert_eq!(further, 3 - spent);
 }
+
+/// A cold node may be sent two parts at any time, by all brokers together: who is alone need not wait for the first.
+#[rstest]
+fn a_lone_broker_sends_a_new_node_its_first_part_at_once(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut town = Town::new(Deployment { brokers: 1.0, holders: 1, seed, ..site() });
+    let now = town.host.now;
+    town.list(true, &[row(0, Standing::Active, now)]);
+    let scan = town.scan(FULL, &[0]);
+    assert_eq!(town.sent(scan).len(), 1);
+}
