The stand-in agent of the list's stories is one module of theirs, not two copies

tests/discovery.rs and tests/list.rs held the same agent, call, list and nodes; they are in tests/agent/mod.rs. As strict as before: where list.rs took any error for a closed connection, one that ran out of patience too, it now waits for an end or a reset.

--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -1,117 +1,17 @@
 //! Discovery's calls broken at every moment, whole lists that leave nodes out, and a start without port or descriptors.
 
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+mod agent;
+
+use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use dunepond_lab::store::{Broker, Client, List, Node, config, launch, scan};
 use rstest::rstest;
 use serde_json::{Value, json};
-use socket2::{Domain, SockRef, Socket, Type};
-
-/// A change counts as told 6 s after discovery had it and could be reached, whatever call has failed. Half of that is
-/// left for a machine that is busy with other tests.
-const IN_TIME: Duration = Duration::from_secs(3);
-
-/// Discovery's agent; it says what its story says.
-struct Agent(TcpListener);
-
-/// A connection of the broker's to it.
-struct Call(BufReader<TcpStream>);
-
-impl Agent {
-    fn start() -> Self {
-        Self(TcpListener::bind("127.0.0.1:0").unwrap())
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.0.local_addr().unwrap()
-    }
-
-    /// The next connection, with what is asked on it.
-    fn asked(&self) -> (Call, String) {
-        let stream = self.0.accept().unwrap().0;
-        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        let mut call = Call(BufReader::new(stream));
-        let path = call.asked();
-        (call, path)
-    }
-}
-
-impl Call {
-    /// The path of the next question.
-    fn asked(&mut self) -> String {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            assert!(self.0.read_line(&mut head).unwrap() > 0, "closed");
-        }
-        head.split(' ').nth(1).unwrap().to_string()
-    }
-
-    fn say(&mut self, text: &str) {
-        let _ = self.0.get_mut().write_all(text.as_bytes());
-    }
-
-    fn answer(&mut self, list: &Value) {
-        self.say(&answer(&list.to_string()));
-    }
-
-    fn reset(self) {
-        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
-    }
+use socket2::{Domain, Socket, Type};
 
-    /// Waits for the broker to close it.
-    fn wait_closed(&mut self) {
-        match self.0.read(&mut [0]) {
-            Ok(0) => {}
-            Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
-            other => panic!("not closed: {other:?}"),
-        }
-    }
-}
-
-fn answer(body: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-}
-
-fn list(seq: u64, lines: Vec<Value>) -> Value {
-    json!({"seq": seq, "whole": true, "hosts": lines})
-}
-
-fn nodes() -> [Node; 2] {
-    [Node::start("s-0"), Node::start("s-1")]
-}
-
-/// The first node drains, the other one is in service.
-fn drained(seq: u64, nodes: &[Node; 2]) -> Value {
-    list(seq, vec![nodes[0].line("draining"), nodes[1].line("ready")])
-}
-
-/// A broker that begins with the first node alone, and its first call.
-fn calling(nodes: &[Node; 2]) -> (Broker, Agent, Call) {
-    let agent = Agent::start();
-    let broker = Broker::start(&config(agent.address(), vec![nodes[0].line("ready")]));
-    let (call, path) = agent.asked();
-    assert_eq!(path, "/v1/endpoints");
-    (broker, agent, call)
-}
-
-/// A broker whose agent has told it, as this version, that the first node alone is in service, and that watches now.
-fn watching(seq: u64, nodes: &[Node; 2]) -> (Broker, Agent, Call) {
-    let (broker, agent, mut call) = calling(nodes);
-    call.answer(&list(seq, vec![nodes[0].line("ready")]));
-    assert!(call.asked().starts_with(&format!("/v1/endpoints?index={seq}&wait=")));
-    (broker, agent, call)
-}
-
-/// Asks a few scans, all of which go to the second node and none to the first.
-fn only_the_second_serves(broker: &Broker, nodes: &[Node; 2]) {
-    let mut client = Client::to(broker);
-    for i in 0..3 {
-        assert_eq!(client.ask(&scan("find", &format!("c{i}"), &[0, 1], "2.0")).status, 200);
-    }
-    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 6));
-}
+use agent::{Agent, Call, IN_TIME, answer, calling, drained, list, nodes, only_the_second_serves, watching};
 
 /// On a busy machine an answer may take longer than the next calls take to go out. Each of those would take just as
 /// long: were it ended for them, none would ever be heard.
--- a/crates/dunepond/tests/list.rs
+++ b/crates/dunepond/tests/list.rs
@@ -1,106 +1,14 @@
 //! What becomes of the list when discovery falls silent, breaks off or comes late: an agent led by hand.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+mod agent;
+
 use std::time::{Duration, Instant};
 
-use dunepond_lab::store::{Broker, Client, Node, config, scan};
+use dunepond_lab::store::{Broker, Client, config, scan};
 use rstest::rstest;
-use serde_json::{Value, json};
-use socket2::SockRef;
-
-/// Six seconds after an agent has fallen silent what it does not tell counts as told. Half of that is left for a
-/// machine that is busy with other tests.
-const IN_TIME: Duration = Duration::from_secs(3);
-
-/// Discovery's agent; it says what its story says.
-struct Agent(TcpListener);
-
-/// A connection of the broker's to it.
-struct Call(BufReader<TcpStream>);
-
-impl Agent {
-    fn start() -> Self {
-        Self(TcpListener::bind("127.0.0.1:0").unwrap())
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.0.local_addr().unwrap()
-    }
-
-    fn called(&self) -> Call {
-        let stream = self.0.accept().unwrap().0;
-        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        Call(BufReader::new(stream))
-    }
+use serde_json::json;
 
-    /// The next connection, with what is asked on it.
-    fn asked(&self) -> (Call, String) {
-        let mut call = self.called();
-        let path = call.asked();
-        (call, path)
-    }
-}
-
-impl Call {
-    /// The path of the next question.
-    fn asked(&mut self) -> String {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            assert!(self.0.read_line(&mut head).unwrap() > 0, "closed");
-        }
-        head.split(' ').nth(1).unwrap().to_string()
-    }
-
-    fn say(&mut self, text: &str) {
-        let _ = self.0.get_mut().write_all(text.as_bytes());
-    }
-
-    fn answer(&mut self, list: &Value) {
-        self.say(&answer(&list.to_string()));
-    }
-
-    fn is_closed(&mut self) -> bool {
-        matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
-    }
-}
-
-fn answer(body: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-}
-
-fn list(seq: u64, lines: Vec<Value>) -> Value {
-    json!({"seq": seq, "whole": true, "hosts": lines})
-}
-
-fn nodes() -> [Node; 2] {
-    [Node::start("s-0"), Node::start("s-1")]
-}
-
-/// The first node drains, the other one is in service.
-fn drained(seq: u64, nodes: &[Node; 2]) -> Value {
-    list(seq, vec![nodes[0].line("draining"), nodes[1].line("ready")])
-}
-
-/// A broker whose agent has told it that the first node alone is in service, and that watches now.
-fn watching(nodes: &[Node; 2]) -> (Broker, Agent, Call) {
-    let agent = Agent::start();
-    let broker = Broker::start(&config(agent.address(), vec![nodes[0].line("ready")]));
-    let (mut call, path) = agent.asked();
-    assert_eq!(path, "/v1/endpoints");
-    call.answer(&list(1, vec![nodes[0].line("ready")]));
-    assert!(call.asked().starts_with("/v1/endpoints?index=1&wait="));
-    (broker, agent, call)
-}
-
-/// Asks a few scans, all of which go to the second node and none to the first.
-fn only_the_second_serves(broker: &Broker, nodes: &[Node; 2]) {
-    let mut client = Client::to(broker);
-    for i in 0..3 {
-        assert_eq!(client.ask(&scan("find", &format!("c{i}"), &[0, 1], "2.0")).status, 200);
-    }
-    assert_eq!((nodes[0].frames('A').len(), nodes[1].frames('A').len()), (0, 6));
-}
+use agent::{Agent, IN_TIME, answer, drained, list, nodes, only_the_second_serves, watching};
 
 /// On its own connection it may stay silent for good, while the agent is well.
 #[rstest]
@@ -109,7 +17,7 @@
 #[case::after_half_a_list("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{\"seq\":2,")]
 fn a_watch_that_falls_silent_has_another_call_beside_it_in_time(#[case] said: &str) {
     let nodes = nodes();
-    let (broker, agent, mut silent) = watching(&nodes);
+    let (broker, agent, mut silent) = watching(1, &nodes);
     let since = Instant::now();
     silent.say(said);
     // Not even the next call need be answered.
@@ -127,7 +35,7 @@
 #[test]
 fn a_list_without_a_length_ends_where_its_connection_does() {
     let nodes = nodes();
-    let (broker, agent, mut call) = watching(&nodes);
+    let (broker, agent, mut call) = watching(1, &nodes);
     call.say(&format!("HTTP/1.1 200 OK\r\n\r\n{}", drained(2, &nodes)));
     drop(call);
     let (_next, path) = agent.asked();
@@ -141,13 +49,14 @@
 #[case::cut_short(false)]
 fn a_list_without_a_length_that_is_cut_off_is_asked_for_anew(#[case] reset: bool) {
     let nodes = nodes();
-    let (broker, agent, mut call) = watching(&nodes);
+    let (broker, agent, mut call) = watching(1, &nodes);
     let text = list(2, vec![nodes[0].line("ready")]).to_string();
     call.say(&format!("HTTP/1.1 200 OK\r\n\r\n{}", if reset { &text } else { &text[..text.len() / 2] }));
     if reset {
-        SockRef::from(call.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+        call.reset();
+    } else {
+        drop(call);
     }
-    drop(call);
     let (mut call, path) = agent.asked();
     assert_eq!(path, "/v1/endpoints");
     call.answer(&drained(3, &nodes));
@@ -159,20 +68,20 @@
 #[rstest]
 fn of_two_answers_that_cross_only_the_first_counts(#[values(false, true)] late_first: bool) {
     let nodes = nodes();
-    let (broker, agent, mut late) = watching(&nodes);
+    let (broker, agent, mut late) = watching(1, &nodes);
     let (mut beside, _) = agent.asked();
     let (first, second) = if late_first { (&mut late, &mut beside) } else { (&mut beside, &mut late) };
     first.answer(&drained(3, &nodes));
     assert!(first.asked().contains("index=3&"));
     second.answer(&list(2, vec![nodes[0].line("ready")]));
-    assert!(second.is_closed());
+    second.wait_closed();
     only_the_second_serves(&broker, &nodes);
 }
 
 #[test]
 fn changes_that_do_not_follow_what_is_known_have_the_whole_list_asked_for() {
     let nodes = nodes();
-    let (broker, agent, mut call) = watching(&nodes);
+    let (broker, agent, mut call) = watching(1, &nodes);
     let since = Instant::now();
     call.answer(&json!({"seq": 0, "whole": false, "hosts": [nodes[0].line("ready")]}));
     let (mut call, path) = agent.asked();
@@ -220,7 +129,7 @@
 #[test]
 fn a_new_agent_that_is_silent_at_first_is_called_again_in_time() {
     let nodes = nodes();
-    let (broker, _old, _silent) = watching(&nodes);
+    let (broker, _old, _silent) = watching(1, &nodes);
     let new = Agent::start();
     let since = Instant::now();
     broker.reread(&config(new.address(), vec![]));
@@ -239,7 +148,7 @@
 #[test]
 fn a_list_may_come_indented() {
     let nodes = nodes();
-    let (broker, _agent, mut call) = watching(&nodes);
+    let (broker, _agent, mut call) = watching(1, &nodes);
     let mut lines: Vec<_> = (2..200)
         .map(|i| json!({"host": format!("s-{i}"), "dial": "127.0.0.1:1", "block": 0, "health": "draining"}))
         .collect();
