A part that was given up keeps its place on its connection until it ends

Traced by a probe in each frame and each part given up: further attempts tell what is left as they are framed (none of 1,219 on split had waited over 0.15 s between the order and its frame, 1 of 92 on zone), so it is not our queue or a late connection. But 1,752 parts were given up on zone and 148 of them still ended: the node had begun with them and went on.

At fault: servers/frames.rs `fit`, which counted what is carried and took a place for free as soon as its part was given up. It counts what was given up and has not ended; a connection on which all places are taken so is closed once it carries nothing (servers/connect.rs `rest`), as its node tells of no other way. Ends of such parts are known by that, however many they are: with over 512 given up at once the first of their ends were taken for spoilt, and the connection ended with all beside them (servers/ends.rs, `past`).

Where a connection carries a hundred, one in a hundred parts given up costs a handshake at most.

--- a/crates/dunepond/src/servers/connect.rs
+++ b/crates/dunepond/src/servers/connect.rs
@@ -61,6 +61,7 @@
             input: None,
             out: Outflow::new(&self.pool),
             carried: VecDeque::new(),
+            given_up: Vec::new(),
             calls: 0,
             api,
             message: None,
@@ -109,7 +110,9 @@
     /// Sets the time at which a connection that carries nothing is closed.
     pub(super) fn rest(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         let Some(link) = self.links.get_mut(id).filter(|l| l.up && l.carried.is_empty()) else { return };
-        if link.retired || link.input.is_some() {
+        // Which of those that were given up the node still works on is told nowhere but by their ends.
+        let no_room = link.given_up.len() >= self.bounds.parts_a_connection;
+        if link.retired || link.input.is_some() || no_room {
             return self.end(now, id, Ending::Unused, alarms);
         }
         if link.alarm.is_none() {
--- a/crates/dunepond/src/servers/ends.rs
+++ b/crates/dunepond/src/servers/ends.rs
@@ -146,10 +146,14 @@
                 Ok(Some((Said::Words { .. }, _))) => return spoilt("a Q on a connection for parts"),
                 Ok(Some((Said::Ended { id, word, value, report }, used))) => {
                     let at = link.carried.iter().position(|o| *o.parcel.id == *id);
+                    let late = link.given_up.iter().position(|given_up| **given_up == *id);
                     // Given up, or answered before: its end has been told. Any other may belong to any part here.
-                    if at.is_none() && !link.past.iter().any(|past| **past == *id) {
+                    if at.or(late).is_none() && !link.past.iter().any(|past| **past == *id) {
                         return spoilt("an E for a part that is not out");
                     }
+                    if at.is_none() {
+                        late.map(|late| link.given_up.swap_remove(late));
+                    }
                     let (end, value) = match word {
                         Word::Hit => (End::Completed, Some(value.to_string())),
                         Word::Fault => (End::Error, None),
--- a/crates/dunepond/src/servers/frames.rs
+++ b/crates/dunepond/src/servers/frames.rs
@@ -189,11 +189,8 @@
         let (most, api) = (self.bounds.parts_a_connection, self.speaks_api(node));
         let alone = api || parcels[0].text.body().is_some();
         let room = |l: &Link| {
-            if alone {
-                l.carried.is_empty()
-            } else {
-                !l.is_taken() && l.carried.len() + parcels.len() <= most
-            }
+            let free = if alone { l.carried.is_empty() } else { !l.is_taken() };
+            free && l.carried.len() + l.given_up.len() + parcels.len() <= most
         };
         // Half a frame may be all that ever comes on it; and one that is due to be closed may be closed over there.
         let sound = |l: &Link| !l.retired && l.api == api && l.input.is_none() && !l.is_over(now);
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -27,7 +27,8 @@
 pub use connect::open;
 pub use listing::Listing;
 
-/// Parts that a connection remembers after it was through with them: their ends may still come, or come twice.
+/// Parts that a connection remembers after it was through with them, as their ends may come twice: a bound of ours on memory.
+/// What was given up is remembered beside that until its end comes, however many a connection carries.
 const PAST: usize = 512;
 
 /// A part on its way: which dispatch it is, and what its frame needs.
@@ -76,6 +77,8 @@
     input: Option<Buffer>,
     out: Outflow,
     carried: VecDeque<Out>,
+    /// Parts that were given up and have not ended: the node may still be at them, and each takes its place until then.
+    given_up: Vec<Rc<str>>,
     calls: u64,
     /// It speaks the API: one request at a time, and the answer that is coming in.
     api: bool,
@@ -175,7 +178,8 @@
 
     /// It carries a part of this name, or has.
     fn knows(&self, id: &str) -> bool {
-        self.past.iter().any(|past| **past == *id) || self.carried.iter().any(|o| *o.parcel.id == *id)
+        let given_up = self.given_up.iter().chain(&self.past).any(|past| **past == *id);
+        given_up || self.carried.iter().any(|o| *o.parcel.id == *id)
     }
 
     fn is_idle(&self) -> bool {
--- a/crates/dunepond/src/servers/recall.rs
+++ b/crates/dunepond/src/servers/recall.rs
@@ -26,6 +26,7 @@
             let link = &mut self.links[id];
             let Some(at) = link.carried.iter().position(|o| o.parcel.key() == key) else { continue };
             let Some(out) = link.take(at) else { continue };
+            link.given_up.push(out.parcel.id.clone());
             if link.api {
                 // The API knows no taking back: the connection is its request.
                 self.end(now, id, Ending::CutShort, alarms);
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -576,6 +576,81 @@
     assert!(wire.rest().is_empty() && other.rest().is_empty());
 }
 
+/// The node may have begun with it and be at it for long: what came in its place would wait there unread, while the time
+/// that it tells runs out.
+#[rstest]
+#[case::still_at_it(false)]
+#[case::through_with_it(true)]
+fn a_part_that_was_given_up_takes_its_place_until_it_has_ended(#[case] ended: bool) {
+    let hand = Hand::start();
+    let keys = [
+        ("/settings/ceilings/streamsPerConn", json!(2)),
+        ("/settings/familyInfo/partsACall", json!(2)),
+        ("/settings/ceilings/secondCopies", json!(false)),
+    ];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    gone([client]);
+    assert_eq!(wire.frame(), ('B', call.id.clone()));
+    if ended {
+        wire.serve(&call);
+    }
+    settled(&broker);
+    let mut next = Client::to(&broker);
+    next.send(&scan("find", "c2", &[1, 2], "2.5"));
+    let mut on = if ended { wire } else { hand.accepted() };
+    assert_eq!(on.call().id, "c2.1");
+    on.say(&[end("c2.1", "hit"), end("c2.2", "hit")].concat());
+    assert_eq!(next.answer().unwrap().status, 200);
+}
+
+/// More of them than a connection remembers of parts that have ended: each of their ends is one that was owed.
+#[test]
+fn ends_of_many_parts_that_were_given_up_spoil_nothing_for_who_is_beside_them() {
+    let hand = Hand::start();
+    let keys = [
+        ("/settings/ceilings/streamsPerConn", json!(1000)),
+        ("/settings/ceilings/mostHeld", json!(2000)),
+        ("/settings/familyInfo/slabs", json!(800)),
+        ("/settings/familyInfo/partsACall", json!(800)),
+        ("/settings/ceilings/secondCopies", json!(false)),
+    ];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut beside = Client::to(&broker);
+    beside.send(&scan("fix", "c1", &[0], "2.9"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c2", &(0..800).collect::<Vec<_>>(), "2.8"));
+    assert_eq!(wire.call().id, "c2.0");
+    gone([client]);
+    let ends: Vec<_> = (0..800).map(|_| end(&wire.frame().1, "hit")).collect();
+    wire.say(&ends.concat());
+    wire.serve(&call);
+    assert_eq!(beside.answer().unwrap().status, 200);
+}
+
+/// And one on which all places are taken so is of no more use.
+#[test]
+fn a_connection_of_given_up_parts_alone_is_closed() {
+    let hand = Hand::start();
+    let (broker, list) =
+        before(vec![hand.line("s-0", "ready")], &[("/settings/ceilings/streamsPerConn", json!(1))]);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    gone([client]);
+    assert_eq!(wire.frame(), ('B', call.id));
+    assert!(wire.rest().is_empty());
+}
+
 /// Without leave to cancel nothing is taken back at a node; but its last byte would go out for nobody.
 #[test]
 fn a_half_written_part_goes_no_further_once_its_client_has_gone() {
