A non-replayable scan that never left by its last call is refused, not failed

Read and then seen on sockets: a side-effect scan whose only part waits for its connection, or lies half written, at the last call was answered 502. The module takes for sent what it dispatched and has not seen back (time.rs `give_up`, `Shot::never_ran`), and hears that it was not only after its answer: `conclude` (desk/over.rs) takes back what has not gone out, and queues NotSent, when the answer is already decided.

Mended on the broker's side: `abandon` (desk/host.rs) first takes back what can be; if nothing of the scan is out then, no end that waits to be told says that it may have run, and none has, the answer is 429. One part that has gone out whole keeps it at 502.

--- a/crates/dunepond/src/desk/host.rs
+++ b/crates/dunepond/src/desk/host.rs
@@ -111,6 +111,10 @@
     }
 
     fn abandon(&mut self, scan: ScanId) {
+        // The module takes for sent what it has dispatched and not seen back; what still waits here has not left.
+        if self.is_unsent(scan) {
+            return self.throttle(scan, 0.0);
+        }
         if self.scans.get(&scan).is_some_and(|in_hand| in_hand.api.is_some()) {
             if self.conclude(scan).is_some() {
                 self.note(scan, 502, false);
--- a/crates/dunepond/src/desk/over.rs
+++ b/crates/dunepond/src/desk/over.rs
@@ -135,6 +135,21 @@
         client
     }
 
+    /// No dispatch of a scan that is about to be answered has gone out whole, or can any more: it is harmless to ask again.
+    pub(super) fn is_unsent(&mut self, scan: ScanId) -> bool {
+        let Some(in_hand) = self.scans.get(&scan).filter(|s| s.ran.iter().all(|at| *at == f64::MAX)) else {
+            return false;
+        };
+        let mut left = false;
+        for (part, shot, node) in in_hand.dispatches() {
+            let key = (scan, part, shot);
+            self.servers.withdraw(self.now, node, key, End::NotSent, &mut self.alarms);
+            left |= self.servers.carries(node, key);
+        }
+        let mut ends = self.servers.back.iter().map(|back| &back.ended).filter(|ended| ended.scan == scan);
+        !left && !ends.any(|ended| may_have_run(ended.end))
+    }
+
     pub(super) fn reply(&mut self, scan: ScanId, status: u16, body: &str, wait: f64) {
         if let Some(client) = self.conclude(scan) {
             let in_hand = &self.scans[&scan];
--- a/crates/dunepond/src/servers/recall.rs
+++ b/crates/dunepond/src/servers/recall.rs
@@ -47,6 +47,12 @@
         unsent.map(|o| o.parcel.scan).collect()
     }
 
+    /// Whether some connection to a node carries a dispatch, sent or not.
+    pub fn carries(&self, node: NodeId, key: (ScanId, usize, usize)) -> bool {
+        let links = self.servers.get(node).map_or(&[][..], |server| &server.links);
+        links.iter().any(|id| self.links[*id].carried.iter().any(|o| o.parcel.key() == key))
+    }
+
     /// Takes back what has waited on a connection for too long. False where of some frame a part has gone out by then:
     /// its rest would arrive too late, and cannot be cut out of the stream.
     pub(super) fn lapse(&mut self, now: f64, id: usize) -> bool {
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -435,6 +435,53 @@
     assert!(wire.rest().is_empty());
 }
 
+/// By its last call no byte of it has left, whatever it waits for: asking again is harmless, which the answer says.
+#[test]
+fn a_part_that_still_waits_for_its_connection_at_the_last_call_is_refused() {
+    let (late, fill) = Hand::full();
+    let keys = [
+        ("/settings/ceilings/connectTimeoutMs", json!(5000.0)),
+        ("/settings/services/1/aimMs", json!(400.0)),
+    ];
+    let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "0.6"));
+    late.wait_called();
+    assert_eq!(client.answer().unwrap().status, 429);
+    let wire = late.accepted_late(fill);
+    drop(broker);
+    assert!(wire.rest().is_empty());
+}
+
+/// Nor has the last byte left of one that is half written, or of what waits behind that.
+#[test]
+fn parts_half_written_and_behind_it_at_the_last_call_are_refused() {
+    let mut stuck = Stuck::before("fix", &[]);
+    assert_eq!((stuck.first.answer().unwrap().status, stuck.second.answer().unwrap().status), (429, 429));
+    let mut length = [0; 4];
+    stuck.wire.0.read_exact(&mut length).unwrap();
+    assert!(stuck.wire.rest().len() < u32::from_be_bytes(length) as usize);
+}
+
+/// One part has gone out whole: it may have run, whatever became of the one that waits.
+#[test]
+fn a_scan_of_which_one_part_has_left_at_the_last_call_has_failed() {
+    let (hand, (late, _fill)) = (Hand::start(), Hand::full());
+    let keys =
+        [("/settings/ceilings/connectTimeoutMs", json!(5000.0)), ("/settings/familyInfo/cells", json!(2))];
+    let mut other = late.line("s-1", "ready");
+    other["block"] = json!(1);
+    let (broker, list) = before(vec![hand.line("s-0", "ready"), other], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0, 1], "0.9"));
+    let mut wire = hand.accepted();
+    wire.call();
+    late.wait_called();
+    assert_eq!(client.answer().unwrap().status, 502);
+}
+
 /// Opened before the new process began, and up only since: what is out there is out at the new one.
 #[test]
 fn a_connection_that_came_up_after_its_node_was_replaced_is_the_new_processs() {
