What a dispatch is taken back from is looked for in one place

`recall`, `withdraw` and `give_up` each went through a node's connections for one dispatch; `find` does now, and `withdraw` tells by its frame whether it waits, is half written or out. No behaviour is changed.

--- a/crates/dunepond/src/servers/recall.rs
+++ b/crates/dunepond/src/servers/recall.rs
@@ -22,22 +22,20 @@
         if self.withdraw(now, node, key, end, alarms) {
             return;
         }
-        for id in self.servers.get(node).map(|s| s.links.clone()).unwrap_or_default() {
-            let link = &mut self.links[id];
-            let Some(at) = link.carried.iter().position(|o| o.parcel.key() == key) else { continue };
-            let Some(out) = link.take(at) else { continue };
-            link.given_up.push(out.parcel.id.clone());
-            if link.api {
-                // The API knows no taking back: the connection is its request.
-                self.end(now, id, Ending::CutShort, alarms);
-            } else if end == End::Cancelled {
-                // A dispatch that has timed out is known to the node by its frame.
-                link.out.put(&frames::give_up(&out.parcel.id));
-                self.write(now, id, alarms);
-            }
-            self.back.push_back(out.back(node, end, now, None));
-            return self.rest(now, id, alarms);
+        let Some((id, at)) = self.find(node, key) else { return };
+        let link = &mut self.links[id];
+        let Some(out) = link.take(at) else { return };
+        link.given_up.push(out.parcel.id.clone());
+        if link.api {
+            // The API knows no taking back: the connection is its request.
+            self.end(now, id, Ending::CutShort, alarms);
+        } else if end == End::Cancelled {
+            // A dispatch that has timed out is known to the node by its frame.
+            link.out.put(&frames::give_up(&out.parcel.id));
+            self.write(now, id, alarms);
         }
+        self.back.push_back(out.back(node, end, now, None));
+        self.rest(now, id, alarms);
     }
 
     /// The scans of which something waits on this connection for its last byte to be written.
@@ -49,8 +47,14 @@
 
     /// Whether some connection to a node carries a dispatch, sent or not.
     pub fn carries(&self, node: NodeId, key: (ScanId, usize, usize)) -> bool {
-        let links = self.servers.get(node).map_or(&[][..], |server| &server.links);
-        links.iter().any(|id| self.links[*id].carried.iter().any(|o| o.parcel.key() == key))
+        self.find(node, key).is_some()
+    }
+
+    /// The connection that carries a dispatch, and where on it.
+    fn find(&self, node: NodeId, key: (ScanId, usize, usize)) -> Option<(usize, usize)> {
+        let links = &self.servers.get(node)?.links;
+        let at = |link: &Link| link.carried.iter().position(|o| o.parcel.key() == key);
+        links.iter().find_map(|id| Some((*id, at(&self.links[*id])?)))
     }
 
     /// Takes back what has waited on a connection for too long. False where of some frame a part has gone out by then:
@@ -87,39 +91,23 @@
         end: End,
         alarms: &mut Alarms,
     ) -> bool {
-        if self.recall(now, node, key, end) {
-            return true;
-        }
-        let half = |link: &Link| {
-            let written = link.out.written();
-            link.carried.iter().position(|o| o.parcel.key() == key && o.to.is_some_and(|to| to > written))
-        };
-        let links = self.servers.get(node).map_or(&[][..], |server| &server.links);
-        let found = links.iter().find_map(|id| half(&self.links[*id]).map(|at| (*id, at)));
-        let Some((id, at)) = found else { return false };
-        if let Some(out) = self.links[id].take(at) {
-            self.back.push_back(out.back(node, end, now, None));
-        }
-        // Half a frame cannot be cut out of the stream.
-        self.end(now, id, Ending::CutShort, alarms);
-        true
-    }
-
-    /// Takes back what has not begun to go out, if it has not.
-    fn recall(&mut self, now: f64, node: NodeId, key: (ScanId, usize, usize), end: End) -> bool {
         let Some(server) = self.servers.get_mut(node) else { return false };
         if let Some(at) = server.batch.iter().position(|p| p.key() == key) {
             self.back.push_back(server.batch.remove(at).unsent(node, end));
             return true;
         }
-        for id in &server.links {
-            let carried = &mut self.links[*id].carried;
-            let unsent = carried.iter().position(|o| o.to.is_none() && o.parcel.key() == key);
-            if let Some(out) = unsent.and_then(|at| carried.remove(at)) {
-                self.back.push_back(out.back(node, end, now, None));
-                return true;
-            }
+        let Some((id, at)) = self.find(node, key) else { return false };
+        let link = &mut self.links[id];
+        let half = match link.carried[at].to {
+            Some(to) if to <= link.out.written() => return false,
+            to => to.is_some(),
+        };
+        let out = if half { link.take(at) } else { link.carried.remove(at) };
+        self.back.extend(out.map(|out| out.back(node, end, now, None)));
+        if half {
+            // It cannot be cut out of the stream.
+            self.end(now, id, Ending::CutShort, alarms);
         }
-        false
+        true
     }
 }
