Readiness behind a full accept queue, of our own and of the old process's: stories

Suspected, and refuted by these two: a queue full of connections that ask nothing stands before `GET /ready`, in front of a broker that has stood still, and in front of the old process that still holds the port. Whoever asks is answered within 6 s.

--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -287,6 +287,69 @@
     std::fs::remove_file(file).unwrap();
 }
 
+/// Nine in ten restarted brokers are to be ready so soon, on the shortest of days.
+const READY: Duration = Duration::from_secs(6);
+
+/// Asks whether it is ready, on a connection that finds the queue full and comes up once there is room.
+fn asks_at_a_full_queue(at: SocketAddr) -> std::thread::JoinHandle<u16> {
+    let asks = std::thread::spawn(move || Client::dial(at).ask("GET /ready HTTP/1.1\r\n\r\n").status);
+    let remote = format!("{:08X}:{:04X} 02", u32::from_le_bytes([127, 0, 0, 1]), at.port());
+    while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&remote) {
+        std::thread::yield_now();
+    }
+    asks
+}
+
+/// Connections that ask nothing, until one more does not come up.
+fn fill(at: SocketAddr) -> Vec<TcpStream> {
+    let open = || TcpStream::connect_timeout(&at, Duration::from_millis(200)).ok();
+    std::iter::from_fn(open).collect()
+}
+
+/// A queue full of connections that ask nothing is before whoever asks.
+#[test]
+fn who_asks_behind_a_full_queue_hears_in_time_that_it_is_ready() {
+    let nodes = nodes();
+    let (broker, _agent, _call) = watching(1, &nodes);
+    broker.signal("STOP");
+    let stat = format!("/proc/{}/stat", broker.pid());
+    while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+        std::thread::yield_now();
+    }
+    let _silent = fill(broker.address);
+    let asks = asks_at_a_full_queue(broker.address);
+    broker.signal("CONT");
+    let since = Instant::now();
+    assert_eq!(asks.join().unwrap(), 200);
+    assert!(since.elapsed() < READY, "{:?}", since.elapsed());
+}
+
+/// The queue is that of the old process, which still holds the port.
+#[test]
+fn who_asks_at_a_full_queue_of_the_old_process_hears_in_time_that_the_new_one_is_ready() {
+    let nodes = nodes();
+    let held = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    held.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    held.listen(8).unwrap();
+    let at = held.local_addr().unwrap().as_socket().unwrap();
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["listen"] = json!(at.to_string());
+    let (mut child, file) = launch(&config);
+    let mut lines = BufReader::new(child.stderr.as_mut().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("GW_LISTEN")), "it says what it waits for");
+    let _silent = fill(at);
+    let asks = asks_at_a_full_queue(at);
+    let since = Instant::now();
+    drop(held);
+    assert!(lines.any(|line| line.contains("listening on")));
+    assert_eq!(asks.join().unwrap(), 200);
+    assert!(since.elapsed() < READY, "{:?}", since.elapsed());
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(file).unwrap();
+}
+
 #[test]
 fn a_port_that_stays_held_is_named_and_ends_the_start() {
     let held = TcpListener::bind("127.0.0.1:0").unwrap();
