--- a/crates/dunepond/src/clock.rs
+++ b/crates/dunepond/src/clock.rs
@@ -36,7 +36,7 @@
     Work,
     ClientSlow(usize),
     ClientMore(usize),
-    Agent,
+    Discovery,
     Accept,
     /// Discovery has not spoken since the start.
     FirstList,
@@ -93,13 +93,13 @@
     #[test]
     fn alarms_ring_in_order_of_time_and_not_once_they_are_taken_back() {
         let mut alarms = Alarms::default();
-        alarms.set(3.0, Due::Agent);
+        alarms.set(3.0, Due::Discovery);
         let taken_back = alarms.set(1.0, Due::Wake);
         alarms.set(2.0, Due::Accept);
         alarms.unset(Some(taken_back));
         assert_eq!(alarms.until_next(1.5), Some(Duration::from_millis(500)));
         assert_eq!(alarms.take_due(1.9), None);
-        assert_eq!((alarms.take_due(9.0), alarms.take_due(9.0)), (Some(Due::Accept), Some(Due::Agent)));
+        assert_eq!((alarms.take_due(9.0), alarms.take_due(9.0)), (Some(Due::Accept), Some(Due::Discovery)));
         assert_eq!(alarms.until_next(9.0), None);
     }
 }
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -61,7 +61,8 @@
     Ended,
 }
 
-pub struct Agent {
+/// The client of discovery: what it asks the agent on this machine, and what it has heard.
+pub struct DiscoveryClient {
     handle: Handle,
     pool: Pool,
     address: SocketAddr,
@@ -83,7 +84,7 @@
     pause: f64,
 }
 
-impl Agent {
+impl DiscoveryClient {
     pub fn new(handle: Handle, pool: &Pool, address: SocketAddr, bounds: &Bounds) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (calls, alarm, seq, pause) = (Vec::new(), None, None, AGAIN.0);
@@ -95,7 +96,7 @@
     pub fn call(&mut self, now: f64, alarms: &mut Alarms) {
         let open = || -> Result<Call, Ending> {
             let stream = Rc::new(servers::open(self.address)?);
-            let token = watch(&self.handle, &stream, Ready::Agent).map_err(|_| Ending::NoMeans)?;
+            let token = watch(&self.handle, &stream, Ready::Discovery).map_err(|_| Ending::NoMeans)?;
             let out = Outflow::new(&self.pool);
             Ok(Call {
                 stream,
@@ -145,7 +146,7 @@
         call.due = now + wait as f64 / 1000.0;
         call.out.put(&http::get(&path, &self.address.to_string()));
         alarms.unset(self.alarm.take());
-        self.alarm = Some(alarms.set(call.due + OVERDUE, Due::Agent));
+        self.alarm = Some(alarms.set(call.due + OVERDUE, Due::Discovery));
         self.write(now, at, alarms);
     }
 
@@ -199,7 +200,7 @@
         self.watch_broken();
         if self.calls.is_empty() || self.alarm.is_none() {
             alarms.unset(self.alarm.take());
-            self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
+            self.alarm = Some(alarms.set(now + self.pause, Due::Discovery));
             // Our own lack says nothing of the agent.
             if ending != Ending::NoDescriptor {
                 self.pause = (2.0 * self.pause).min(AGAIN.1);
@@ -316,7 +317,7 @@
             self.handle.remove(answered.token);
         }
         alarms.unset(self.alarm.take());
-        self.alarm = Some(alarms.set(now.max(self.asked + APART), Due::Agent));
+        self.alarm = Some(alarms.set(now.max(self.asked + APART), Due::Discovery));
         news
     }
 
--- a/crates/dunepond/src/turn.rs
+++ b/crates/dunepond/src/turn.rs
@@ -19,7 +19,8 @@
     Link(usize, bool),
     /// A connection for questions.
     Question(usize, bool),
-    Agent(bool),
+    /// A connection to discovery.
+    Discovery(bool),
     /// The files tier has done something.
     Disk(Done),
     /// A background job that could block has ended.
--- a/crates/dunepond/src/world/changing.rs
+++ b/crates/dunepond/src/world/changing.rs
@@ -19,7 +19,7 @@
             Ok(start) => {
                 info!("configuration read again");
                 logger::set_level(start.level);
-                self.agent.move_to(now, start.discovery, &mut self.desk.alarms);
+                self.discovery.move_to(now, start.discovery, &mut self.desk.alarms);
                 self.call_discovery();
             }
             Err(Bad(line)) => error!("the configuration in force stays: {line}"),
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -19,7 +19,7 @@
 use crate::desk::Desk;
 use crate::fleet::Fleet;
 use crate::keeping::Keeping;
-use crate::list::{Agent, News};
+use crate::list::{DiscoveryClient, News};
 use crate::turn::Ready;
 pub use start::{Hooks, catch_signals, serve};
 
@@ -28,7 +28,7 @@
     clock: Clock,
     broker: Broker,
     desk: Desk,
-    agent: Agent,
+    discovery: DiscoveryClient,
     /// Two-phase scans; nothing where the operator's file does not ask for them.
     asking: Option<Asking>,
     background: Background,
@@ -80,7 +80,7 @@
             Ready::Client(id, readable) => self.client_ready(id, readable),
             Ready::Link(id, readable) => self.link_ready(id, readable),
             Ready::Question(id, readable) => self.question_ready(id, readable),
-            Ready::Agent(readable) => self.agent_ready(readable),
+            Ready::Discovery(readable) => self.discovery_ready(readable),
             Ready::Disk(done) => self.disk(done),
             Ready::Work(finished) => self.work_ended(finished),
             Ready::Fleet => {
@@ -123,9 +123,9 @@
         self.settle();
     }
 
-    fn agent_ready(&mut self, readable: bool) {
+    fn discovery_ready(&mut self, readable: bool) {
         let now = self.tick();
-        for news in self.agent.ready(now, readable, &mut self.desk.alarms) {
+        for news in self.discovery.ready(now, readable, &mut self.desk.alarms) {
             if self.known.take().is_some() {
                 self.desk.clients.resume();
             }
@@ -136,8 +136,8 @@
 
     /// Makes a call to discovery after all that found no descriptor: a list that is not asked for counts as told too.
     fn call_discovery(&mut self) {
-        if std::mem::take(&mut self.agent.short) && self.desk.make_room() {
-            self.agent.call(self.desk.now, &mut self.desk.alarms);
+        if std::mem::take(&mut self.discovery.short) && self.desk.make_room() {
+            self.discovery.call(self.desk.now, &mut self.desk.alarms);
         }
     }
 
@@ -151,7 +151,7 @@
 
     fn listed(&mut self, mut news: News) {
         if let Some(fleet) = &mut self.desk.fleet {
-            news.rows = fleet.listed(self.desk.now, news.whole, news.rows, |zone| self.agent.zone(zone));
+            news.rows = fleet.listed(self.desk.now, news.whole, news.rows, |zone| self.discovery.zone(zone));
         }
         self.take_rows(news);
     }
@@ -232,7 +232,7 @@
                 self.broker.forget(node);
                 self.desk.fleet.as_mut().into_iter().for_each(|fleet| fleet.forget(node, &host));
                 self.asking.as_mut().into_iter().for_each(|asking| asking.forget(node));
-                self.agent.forget(node, &host);
+                self.discovery.forget(node, &host);
             } else {
                 return;
             }
@@ -323,8 +323,8 @@
                     }
                 }
                 Due::ClientMore(id) => self.desk.clients.go_on(id),
-                Due::Agent => {
-                    self.agent.due(now, &mut self.desk.alarms);
+                Due::Discovery => {
+                    self.discovery.due(now, &mut self.desk.alarms);
                     self.call_discovery();
                 }
                 Due::Accept => {
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -31,7 +31,7 @@
 use crate::desk::Desk;
 use crate::fleet::Fleet;
 use crate::keeping::Keeping;
-use crate::list::{Agent, OVERDUE};
+use crate::list::{DiscoveryClient, OVERDUE};
 use crate::questions::Questions;
 use crate::servers::Servers;
 use crate::turn::{Handle, Ready, Turn};
@@ -133,9 +133,9 @@
     });
     signals.map_err(|e| failed("signals", &e.error))?;
     let (pool, bounds) = (Pool::default(), Rc::new(start.bounds));
-    let mut agent = Agent::new(handle.clone(), &pool, start.discovery, &bounds);
+    let mut discovery = DiscoveryClient::new(handle.clone(), &pool, start.discovery, &bounds);
     // A list that cannot be read is none: discovery will bring another.
-    let known = agent.read(&start.known).ok().map(|(_, news, _)| news);
+    let known = discovery.read(&start.known).ok().map(|(_, news, _)| news);
     let listener = listen("GW_LISTEN", start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
     let local = listener.local_addr().map_err(|e| failed("GW_LISTEN", &e))?;
     let clients =
@@ -207,7 +207,7 @@
         clock,
         broker,
         desk,
-        agent,
+        discovery,
         asking,
         background,
         keeping,
@@ -228,7 +228,7 @@
         world.desk.clients.hold(now + FIRST_LIST.min(held_at_most), &mut world.desk.alarms);
         world.desk.alarms.set(now + FIRST_LIST, Due::FirstList);
     }
-    world.agent.call(now, &mut world.desk.alarms);
+    world.discovery.call(now, &mut world.desk.alarms);
     info!("listening on {local}");
     let mut turn = Turn::default();
     while !(world.over && world.desk.clients.count() == 0) {
