Figures of discovery, start and connections name the term that they follow from

TOLD is the page's clock for silence; OVERDUE and the watch are shares of it; APART and the first pause are shares of the 0.2 s in which the page lets a watch go on (0.05 and 0.1 s, as before). FIRST_LIST is two calls, HELD_AT_MOST a share of the settings' shortest query timeout, IN_TIME one of their idle time. No figure is changed.

--- a/crates/dunepond/src/config.rs
+++ b/crates/dunepond/src/config.rs
@@ -103,7 +103,9 @@
     if most < 16 || most_buffers < 16 {
         return Err(config.bad("limits", "too little memory or sockets for any connections"));
     }
-    // Each node is sent to on few connections, by however many clients.
+    // Each node is sent to on few connections, by however many clients: no term says how many, and this share is ours. It is of
+    // the settings' descriptors, and what is idle makes room for what is wanted; where a connection carries few parts and a
+    // scan has many, it bounds how many scans are out at once.
     let most_links = (most / 4) as usize;
     Ok(Start {
         name: told("GW_NAME", "name")?.0,
--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -19,19 +19,24 @@
 use crate::servers::{self, Listing};
 use crate::turn::{Handle, Ready, watch};
 
-/// What a silent agent does not tell counts as told so long after it fell silent.
+/// What a silent agent does not tell counts as told so long after it fell silent: the page's one clock for silence, the same
+/// for all deployments. What follows are shares of it.
 const TOLD: f64 = 6.0;
 /// How long a watch may wait: a quarter of that, so that several calls can follow a silent one before it is over.
 const WATCH_MS: u64 = (TOLD / 4.0 * 1000.0) as u64;
 /// How long after its time an answer is missed: another call goes out beside the one that is silent, as what is
 /// broken may be that one connection, and is itself missed so soon, as it asks for what can be had at once. At this pace
-/// there is one soon after an agent's return too: what it gets then counts at once.
+/// there is one soon after an agent's return too: what it gets then counts at once. A twelfth is as many calls at once as
+/// our own descriptors are reckoned for (`config.rs`); each is given all of `TOLD`, however slow the agent.
 pub const OVERDUE: f64 = TOLD / 12.0;
-/// Between two calls at least, far inside of the 0.2 s that keep a watch alive: an agent that answers a watch at
-/// once, whatever it is asked, must not make us ask it in circles.
-const APART: f64 = 0.05;
-/// Before a call to an agent that is down is made again: at first, and at most, which is the pace of the silent.
-const AGAIN: (f64, f64) = (0.1, OVERDUE);
+/// By the protocol page a watch goes on if the next call comes so soon after the last answer.
+const GOES_ON: f64 = 0.2;
+/// Between two calls at least, far inside of that: an agent that answers a watch at once, whatever it is asked, must not make
+/// us ask it in circles. A quarter, so that a turn of the loop that comes late still finds the watch alive.
+const APART: f64 = GOES_ON / 4.0;
+/// Before a call to an agent that is down is made again: at first, inside of what keeps a watch alive, and at most, which is
+/// the pace of the silent.
+const AGAIN: (f64, f64) = (GOES_ON / 2.0, OVERDUE);
 
 /// A list, or what changed in it.
 pub struct News {
--- a/crates/dunepond/src/servers/connect.rs
+++ b/crates/dunepond/src/servers/connect.rs
@@ -15,7 +15,9 @@
 use crate::ending::Ending;
 use crate::turn::{Ready, watch};
 
-/// We close an idle connection at this share of the time at which the node does, so that no frame crosses.
+/// We close an idle connection at this share of the time at which the node does at the latest, so that no frame crosses. The time
+/// is the settings'; a share of it, as what is in between has to cover a frame's way and a turn of ours that comes late, be
+/// it of a fifth of a second or of a minute. What is due and still open is not used either.
 const IN_TIME: f64 = 0.9;
 
 /// Starts a connection; whether it comes up is told later.
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -39,10 +39,12 @@
 /// How long a new process waits for the list: for a call and for the one beside it. What the agent on its machine has
 /// counts as told from its first moment, and what it was left with may be old; but while discovery is down there is
 /// nothing else to go by. Who waits at the listener so long has a time of its own, which is not seen before its
-/// request is read: it waits for this share of the shortest query timeout at most, and is throttled then.
+/// request is read: it waits for this share of the shortest query timeout at most, and is throttled then. Half, as the other
+/// half is its client's, to ask elsewhere; the timeouts are the settings'.
 const FIRST_LIST: f64 = 2.0 * OVERDUE;
 const HELD_AT_MOST: f64 = 0.5;
-/// How soon an address that is still held is tried again.
+/// How soon an address that is still held is tried again. No term asks for it: a bound of ours on how often a process that can do
+/// nothing else runs, far below the seconds in which one has to be ready.
 const HELD_AGAIN: Duration = Duration::from_millis(20);
 
 /// Catches the signals that a broker is steered by, and keeps them until it serves: one that came before would kill the
