--- a/crates/dunepond/src/list.rs
+++ b/crates/dunepond/src/list.rs
@@ -19,19 +19,24 @@
 use crate::servers::{self, Listing};
 use crate::turn::{Handle, Ready, watch};
 
-/// What a silent agent does not tell counts as told so long after it fell silent.
+/// What a silent agent does not tell counts as told so long after it fell silent: the page's one clock for silence, the same
+/// for all deployments. What follows are shares of it.
 const TOLD: f64 = 6.0;
 /// How long a watch may wait: a quarter of that, so that several calls can follow a silent one before it is over.
 const WATCH_MS: u64 = (TOLD / 4.0 * 1000.0) as u64;
 /// How long after its time an answer is missed: another call goes out beside the one that is silent, as what is
 /// broken may be that one connection, and is itself missed so soon, as it asks for what can be had at once. At this pace
-/// there is one soon after an agent's return too: what it gets then counts at once.
+/// there is one soon after an agent's return too: what it gets then counts at once. A twelfth is as many calls at once as
+/// our own descriptors are reckoned for (`config.rs`); each is given all of `TOLD`, however slow the agent.
 pub const OVERDUE: f64 = TOLD / 12.0;
-/// Between two calls at least, far inside of the 0.2 s that keep a watch alive: an agent that answers a watch at
-/// once, whatever it is asked, must not make us ask it in circles.
-const APART: f64 = 0.05;
-/// Before a call to an agent that is down is made again: at first, and at most, which is the pace of the silent.
-const AGAIN: (f64, f64) = (0.1, OVERDUE);
+/// By the protocol page a watch goes on if the next call comes so soon after the last answer.
+const GOES_ON: f64 = 0.2;
+/// Between two calls at least, far inside of that: an agent that answers a watch at once, whatever it is asked, must not make
+/// us ask it in circles. A quarter, so that a turn of the loop that comes late still finds the watch alive.
+const APART: f64 = GOES_ON / 4.0;
+/// Before a call to an agent that is down is made again: at first, inside of what keeps a watch alive, and at most, which is
+/// the pace of the silent.
+const AGAIN: (f64, f64) = (GOES_ON / 2.0, OVERDUE);
 
 /// A list, or what changed in it.
 pub struct News {
@@ -61,7 +66,8 @@
     Ended,
 }
 
-pub struct Agent {
+/// The client of discovery: what it asks the agent on this machine, and what it has heard.
+pub struct DiscoveryClient {
     handle: Handle,
     pool: Pool,
     address: SocketAddr,
@@ -83,7 +89,7 @@
     pause: f64,
 }
 
-impl Agent {
+impl DiscoveryClient {
     pub fn new(handle: Handle, pool: &Pool, address: SocketAddr, bounds: &Bounds) -> Self {
         let (pool, zones, nodes) = (pool.clone(), bounds.zones.clone(), HashMap::new());
         let (calls, alarm, seq, pause) = (Vec::new(), None, None, AGAIN.0);
@@ -95,7 +101,7 @@
     pub fn call(&mut self, now: f64, alarms: &mut Alarms) {
         let open = || -> Result<Call, Ending> {
             let stream = Rc::new(servers::open(self.address)?);
-            let token = watch(&self.handle, &stream, Ready::Agent).map_err(|_| Ending::NoMeans)?;
+            let token = watch(&self.handle, &stream, Ready::Discovery).map_err(|_| Ending::NoMeans)?;
             let out = Outflow::new(&self.pool);
             Ok(Call {
                 stream,
@@ -145,7 +151,7 @@
         call.due = now + wait as f64 / 1000.0;
         call.out.put(&http::get(&path, &self.address.to_string()));
         alarms.unset(self.alarm.take());
-        self.alarm = Some(alarms.set(call.due + OVERDUE, Due::Agent));
+        self.alarm = Some(alarms.set(call.due + OVERDUE, Due::Discovery));
         self.write(now, at, alarms);
     }
 
@@ -199,7 +205,7 @@
         self.watch_broken();
         if self.calls.is_empty() || self.alarm.is_none() {
             alarms.unset(self.alarm.take());
-            self.alarm = Some(alarms.set(now + self.pause, Due::Agent));
+            self.alarm = Some(alarms.set(now + self.pause, Due::Discovery));
             // Our own lack says nothing of the agent.
             if ending != Ending::NoDescriptor {
                 self.pause = (2.0 * self.pause).min(AGAIN.1);
@@ -316,7 +322,7 @@
             self.handle.remove(answered.token);
         }
         alarms.unset(self.alarm.take());
-        self.alarm = Some(alarms.set(now.max(self.asked + APART), Due::Agent));
+        self.alarm = Some(alarms.set(now.max(self.asked + APART), Due::Discovery));
         news
     }
 
--- a/crates/dunepond/src/servers/connect.rs
+++ b/crates/dunepond/src/servers/connect.rs
@@ -15,7 +15,9 @@
 use crate::ending::Ending;
 use crate::turn::{Ready, watch};
 
-/// We close an idle connection at this share of the time at which the node does, so that no frame crosses.
+/// We close an idle connection at this share of the time at which the node does at the latest, so that no frame crosses. The time
+/// is the settings'; a share of it, as what is in between has to cover a frame's way and a turn of ours that comes late, be
+/// it of a fifth of a second or of a minute. What is due and still open is not used either.
 const IN_TIME: f64 = 0.9;
 
 /// Starts a connection; whether it comes up is told later.
@@ -61,6 +63,7 @@
             input: None,
             out: Outflow::new(&self.pool),
             carried: VecDeque::new(),
+            given_up: Vec::new(),
             calls: 0,
             api,
             message: None,
@@ -109,7 +112,9 @@
     /// Sets the time at which a connection that carries nothing is closed.
     pub(super) fn rest(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         let Some(link) = self.links.get_mut(id).filter(|l| l.up && l.carried.is_empty()) else { return };
-        if link.retired || link.input.is_some() {
+        // Which of those that were given up the node still works on is told nowhere but by their ends.
+        let no_room = link.given_up.len() >= self.bounds.parts_a_connection;
+        if link.retired || link.input.is_some() || no_room {
             return self.end(now, id, Ending::Unused, alarms);
         }
         if link.alarm.is_none() {
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -31,7 +31,7 @@
 use crate::desk::Desk;
 use crate::fleet::Fleet;
 use crate::keeping::Keeping;
-use crate::list::{Agent, OVERDUE};
+use crate::list::{DiscoveryClient, OVERDUE};
 use crate::questions::Questions;
 use crate::servers::Servers;
 use crate::turn::{Handle, Ready, Turn};
@@ -39,10 +39,12 @@
 /// How long a new process waits for the list: for a call and for the one beside it. What the agent on its machine has
 /// counts as told from its first moment, and what it was left with may be old; but while discovery is down there is
 /// nothing else to go by. Who waits at the listener so long has a time of its own, which is not seen before its
-/// request is read: it waits for this share of the shortest query timeout at most, and is throttled then.
+/// request is read: it waits for this share of the shortest query timeout at most, and is throttled then. Half, as the other
+/// half is its client's, to ask elsewhere; the timeouts are the settings'.
 const FIRST_LIST: f64 = 2.0 * OVERDUE;
 const HELD_AT_MOST: f64 = 0.5;
-/// How soon an address that is still held is tried again.
+/// How soon an address that is still held is tried again. No term asks for it: a bound of ours on how often a process that can do
+/// nothing else runs, far below the seconds in which one has to be ready.
 const HELD_AGAIN: Duration = Duration::from_millis(20);
 
 /// Catches the signals that a broker is steered by, and keeps them until it serves: one that came before would kill the
@@ -133,9 +135,9 @@
     });
     signals.map_err(|e| failed("signals", &e.error))?;
     let (pool, bounds) = (Pool::default(), Rc::new(start.bounds));
-    let mut agent = Agent::new(handle.clone(), &pool, start.discovery, &bounds);
+    let mut discovery = DiscoveryClient::new(handle.clone(), &pool, start.discovery, &bounds);
     // A list that cannot be read is none: discovery will bring another.
-    let known = agent.read(&start.known).ok().map(|(_, news, _)| news);
+    let known = discovery.read(&start.known).ok().map(|(_, news, _)| news);
     let listener = listen("GW_LISTEN", start.listen).map_err(|e| failed("GW_LISTEN", &e))?;
     let local = listener.local_addr().map_err(|e| failed("GW_LISTEN", &e))?;
     let clients =
@@ -207,7 +209,7 @@
         clock,
         broker,
         desk,
-        agent,
+        discovery,
         asking,
         background,
         keeping,
@@ -228,7 +230,7 @@
         world.desk.clients.hold(now + FIRST_LIST.min(held_at_most), &mut world.desk.alarms);
         world.desk.alarms.set(now + FIRST_LIST, Due::FirstList);
     }
-    world.agent.call(now, &mut world.desk.alarms);
+    world.discovery.call(now, &mut world.desk.alarms);
     info!("listening on {local}");
     let mut turn = Turn::default();
     while !(world.over && world.desk.clients.count() == 0) {
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -435,6 +435,53 @@
     assert!(wire.rest().is_empty());
 }
 
+/// By its last call no byte of it has left, whatever it waits for: asking again is harmless, which the answer says.
+#[test]
+fn a_part_that_still_waits_for_its_connection_at_the_last_call_is_refused() {
+    let (late, fill) = Hand::full();
+    let keys = [
+        ("/settings/ceilings/connectTimeoutMs", json!(5000.0)),
+        ("/settings/services/1/aimMs", json!(400.0)),
+    ];
+    let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0], "0.6"));
+    late.wait_called();
+    assert_eq!(client.answer().unwrap().status, 429);
+    let wire = late.accepted_late(fill);
+    drop(broker);
+    assert!(wire.rest().is_empty());
+}
+
+/// Nor has the last byte left of one that is half written, or of what waits behind that.
+#[test]
+fn parts_half_written_and_behind_it_at_the_last_call_are_refused() {
+    let mut stuck = Stuck::before("fix", &[]);
+    assert_eq!((stuck.first.answer().unwrap().status, stuck.second.answer().unwrap().status), (429, 429));
+    let mut length = [0; 4];
+    stuck.wire.0.read_exact(&mut length).unwrap();
+    assert!(stuck.wire.rest().len() < u32::from_be_bytes(length) as usize);
+}
+
+/// One part has gone out whole: it may have run, whatever became of the one that waits.
+#[test]
+fn a_scan_of_which_one_part_has_left_at_the_last_call_has_failed() {
+    let (hand, (late, _fill)) = (Hand::start(), Hand::full());
+    let keys =
+        [("/settings/ceilings/connectTimeoutMs", json!(5000.0)), ("/settings/familyInfo/cells", json!(2))];
+    let mut other = late.line("s-1", "ready");
+    other["block"] = json!(1);
+    let (broker, list) = before(vec![hand.line("s-0", "ready"), other], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[0, 1], "0.9"));
+    let mut wire = hand.accepted();
+    wire.call();
+    late.wait_called();
+    assert_eq!(client.answer().unwrap().status, 502);
+}
+
 /// Opened before the new process began, and up only since: what is out there is out at the new one.
 #[test]
 fn a_connection_that_came_up_after_its_node_was_replaced_is_the_new_processs() {
@@ -576,6 +623,81 @@
     assert!(wire.rest().is_empty() && other.rest().is_empty());
 }
 
+/// The node may have begun with it and be at it for long: what came in its place would wait there unread, while the time
+/// that it tells runs out.
+#[rstest]
+#[case::still_at_it(false)]
+#[case::through_with_it(true)]
+fn a_part_that_was_given_up_takes_its_place_until_it_has_ended(#[case] ended: bool) {
+    let hand = Hand::start();
+    let keys = [
+        ("/settings/ceilings/streamsPerConn", json!(2)),
+        ("/settings/familyInfo/partsACall", json!(2)),
+        ("/settings/ceilings/secondCopies", json!(false)),
+    ];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    gone([client]);
+    assert_eq!(wire.frame(), ('B', call.id.clone()));
+    if ended {
+        wire.serve(&call);
+    }
+    settled(&broker);
+    let mut next = Client::to(&broker);
+    next.send(&scan("find", "c2", &[1, 2], "2.5"));
+    let mut on = if ended { wire } else { hand.accepted() };
+    assert_eq!(on.call().id, "c2.1");
+    on.say(&[end("c2.1", "hit"), end("c2.2", "hit")].concat());
+    assert_eq!(next.answer().unwrap().status, 200);
+}
+
+/// More of them than a connection remembers of parts that have ended: each of their ends is one that was owed.
+#[test]
+fn ends_of_many_parts_that_were_given_up_spoil_nothing_for_who_is_beside_them() {
+    let hand = Hand::start();
+    let keys = [
+        ("/settings/ceilings/streamsPerConn", json!(1000)),
+        ("/settings/ceilings/mostHeld", json!(2000)),
+        ("/settings/familyInfo/slabs", json!(800)),
+        ("/settings/familyInfo/partsACall", json!(800)),
+        ("/settings/ceilings/secondCopies", json!(false)),
+    ];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut beside = Client::to(&broker);
+    beside.send(&scan("fix", "c1", &[0], "2.9"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c2", &(0..800).collect::<Vec<_>>(), "2.8"));
+    assert_eq!(wire.call().id, "c2.0");
+    gone([client]);
+    let ends: Vec<_> = (0..800).map(|_| end(&wire.frame().1, "hit")).collect();
+    wire.say(&ends.concat());
+    wire.serve(&call);
+    assert_eq!(beside.answer().unwrap().status, 200);
+}
+
+/// And one on which all places are taken so is of no more use.
+#[test]
+fn a_connection_of_given_up_parts_alone_is_closed() {
+    let hand = Hand::start();
+    let (broker, list) =
+        before(vec![hand.line("s-0", "ready")], &[("/settings/ceilings/streamsPerConn", json!(1))]);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.5"));
+    let mut wire = hand.accepted();
+    let call = wire.call();
+    gone([client]);
+    assert_eq!(wire.frame(), ('B', call.id));
+    assert!(wire.rest().is_empty());
+}
+
 /// Without leave to cancel nothing is taken back at a node; but its last byte would go out for nobody.
 #[test]
 fn a_half_written_part_goes_no_further_once_its_client_has_gone() {
