A client's end behind the system's own full buffer is seen: who waits is read ahead

Seen (probe, gone.rs who_sends_more_than_the_system_holds...): a client with one request out sends more than our buffer and the system's hold, then closes. Its end stays on its own side behind what it sent, so neither a read nor POLLRDHUP tells of it: the part is taken back only when its time is up, and the requests behind it are sent on one after another for who has gone. Cause: clients/hangup.rs look() stopped at the full input (64 KiB) and asked the system, which had no FIN yet; clients/read.rs next() read nothing more as long as the scan was held. Ruled out: POLLRDHUP and EPOLLRDHUP (they tell of a FIN that has come, and it has not); a longer receive buffer (the peer's send queue has no end).

Now what a waiting client sends is read ahead into further buffers of the pool, some reads a millisecond, as long as less than half of the buffers are in use: half are kept for those that ask. Requests in it are answered in their order as before.

--- a/crates/dunepond/src/clients/accept.rs
+++ b/crates/dunepond/src/clients/accept.rs
@@ -1,5 +1,6 @@
 //! Taking clients in at the doors, and who makes room when there are too many.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -102,6 +103,7 @@
             api,
             token: token?,
             input: None,
+            ahead: VecDeque::new(),
             out: Outflow::new(&self.pool),
             phase: Phase::Head,
             readable: true,
--- a/crates/dunepond/src/clients/answer.rs
+++ b/crates/dunepond/src/clients/answer.rs
@@ -4,7 +4,7 @@
 use tracing::debug;
 
 use super::closing::Last;
-use super::{Clients, Phase, complaint};
+use super::{Client, Clients, Phase, complaint};
 use crate::clock::Alarms;
 use crate::http::{self, Refusal};
 
@@ -55,8 +55,7 @@
 
     /// Another request, or a part of one, has come.
     fn has_more(&mut self, now: f64, id: usize) -> bool {
-        let read =
-            self.clients.get(id).is_some_and(|c| c.input.as_ref().is_some_and(|input| !input.is_empty()));
+        let read = self.clients.get(id).is_some_and(Client::has_read);
         read || now < self.until && matches!(self.last_read(now, id), Last::Said)
     }
 
--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -104,6 +104,10 @@
     /// Reads once more, whether a readiness has told of something or not.
     pub(super) fn last_read(&mut self, now: f64, id: usize) -> Last {
         let Some(client) = self.clients.get_mut(id) else { return Last::Gone(Ending::Closed) };
+        if !client.ahead.is_empty() {
+            self.again.push(id);
+            return Last::Said;
+        }
         let mut input = client.input.take().unwrap_or_else(|| self.pool.take());
         let fresh = input.is_empty();
         let read = loop {
@@ -133,7 +137,7 @@
     /// Closes a connection on which nothing is asked; if something has just come, it stays for that.
     pub(super) fn part(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         // What was read together with the request before is a request, too.
-        if self.clients.get(id).is_some_and(|client| client.input.is_some()) {
+        if self.clients.get(id).is_some_and(|c| c.input.is_some() || !c.ahead.is_empty()) {
             return self.asks(now, id, alarms);
         }
         match self.last_read(now, id) {
--- a/crates/dunepond/src/clients/hangup.rs
+++ b/crates/dunepond/src/clients/hangup.rs
@@ -52,33 +52,54 @@
         Some(ending.and_then(|ending| self.end(id, ending, alarms)))
     }
 
+    /// Whether what a client sends while it waits may be read ahead: its end stands behind all of that, and where it
+    /// is more than the system holds for it, reaches us only once we have read on. Half of the buffers are kept for
+    /// those that ask.
+    pub(super) fn may_read_ahead(&self) -> bool {
+        2 * self.pool.out() < self.most_buffers
+    }
+
     /// Reads ahead what has come, as its end stands behind that. Where this may not be read yet, or there is no room
     /// for it, the system is asked.
     fn look(&mut self, id: usize) -> Option<Ending> {
+        let (room, ahead_room) = (self.pool.out() < self.most_buffers, self.may_read_ahead());
         let client = &mut self.clients[id];
         let paced = client.more || matches!(&client.phase, Phase::Raw(raw) if !raw.all);
         // A body of no length is taken out of a buffer that is there and holds nothing.
         let had = client.input.is_some();
         for _ in 0..READS {
-            let full = client.input.as_ref().map_or(self.pool.out() >= self.most_buffers, Buffer::is_full);
-            if paced || full {
+            if paced || client.input.is_none() && !room {
                 break;
             }
             let input = client.input.get_or_insert_with(|| self.pool.take());
-            match input.read_from(&*client.stream) {
+            let behind = input.is_full() || !client.ahead.is_empty();
+            if behind && !ahead_room {
+                break;
+            }
+            if behind && client.ahead.back().is_none_or(Buffer::is_full) {
+                client.ahead.push_back(self.pool.take());
+            }
+            let last = if behind { client.ahead.back_mut() } else { None };
+            match last.unwrap_or(input).read_from(&*client.stream) {
                 Ok(0) => return Some(Ending::Closed),
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     client.readable = false;
-                    if input.is_empty() && !had {
+                    if !had && client.input.as_ref().is_some_and(Buffer::is_empty) {
                         client.input = None;
                     }
+                    if client.ahead.back().is_some_and(Buffer::is_empty) {
+                        client.ahead.pop_back();
+                    }
                     return None;
                 }
                 Err(e) => return Some(Ending::of(&e)),
             }
         }
+        if client.ahead.back().is_some_and(Buffer::is_empty) {
+            client.ahead.pop_back();
+        }
         closed_behind(&client.stream).then_some(Ending::Closed)
     }
 }
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -9,7 +9,7 @@
 mod route;
 mod time;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -81,6 +81,8 @@
     api: bool,
     token: RegistrationToken,
     input: Option<Buffer>,
+    /// What was read ahead behind a full input, in order.
+    ahead: VecDeque<Buffer>,
     out: Outflow,
     phase: Phase,
     /// There may be something to read: readiness is told only once.
@@ -187,8 +189,16 @@
         }
     }
 
+    /// Something has been read of it that no request was taken out of yet.
+    fn has_read(&self) -> bool {
+        self.input.as_ref().is_some_and(|input| !input.is_empty()) || !self.ahead.is_empty()
+    }
+
     fn unasked(&self) -> bool {
-        matches!(self.phase, Phase::Head) && self.input.is_none() && self.out.is_empty()
+        matches!(self.phase, Phase::Head)
+            && self.input.is_none()
+            && self.ahead.is_empty()
+            && self.out.is_empty()
     }
 }
 
--- a/crates/dunepond/src/clients/read.rs
+++ b/crates/dunepond/src/clients/read.rs
@@ -1,6 +1,8 @@
 //! Reading from clients: whole requests out of what has come, each client in its turn.
 
+use std::collections::VecDeque;
 use std::io;
+use std::net::TcpStream;
 
 use tracing::debug;
 
@@ -16,6 +18,17 @@
 pub(super) const READS: usize = 4;
 const SOON: f64 = 0.001;
 
+/// One read behind what the input holds: of what was read ahead, as long as there is some.
+fn read(input: &mut Buffer, ahead: &mut VecDeque<Buffer>, stream: &TcpStream) -> io::Result<usize> {
+    let Some(first) = ahead.front_mut() else { return input.read_from(stream) };
+    let count = input.read_from(first.held())?;
+    first.consume(count);
+    if first.is_empty() {
+        ahead.pop_front();
+    }
+    Ok(count)
+}
+
 impl Clients {
     pub fn ready(&mut self, now: f64, id: usize, readable: bool, alarms: &mut Alarms) {
         let Some(client) = self.clients.get_mut(id) else { return };
@@ -39,7 +52,13 @@
         loop {
             if let Some(came) = self.decode(now, id, alarms) {
                 // The end of who asks may have come with the request, and nothing would tell of it again.
-                return if self.has_hung_up(now, id) { Came::Nothing } else { self.in_time(now, came) };
+                if self.has_hung_up(now, id) {
+                    return Came::Nothing;
+                }
+                if self.clients.get(id).is_some_and(|client| client.readable) {
+                    self.again.push(id);
+                }
+                return self.in_time(now, came);
             }
             let Some(client) = self.clients.get_mut(id) else { return Came::Nothing };
             // Before it is read, so that no buffer waits with it for the body to go on.
@@ -52,11 +71,10 @@
                 self.stalled.push(id);
             }
             let full = client.input.as_ref().is_some_and(Buffer::is_full);
-            if client.readable && (full || client.more) {
-                self.has_hung_up(now, id);
-                return Came::Nothing;
-            }
-            if !client.readable {
+            if full || client.more || !client.readable && client.ahead.is_empty() {
+                if client.readable && !self.has_hung_up(now, id) {
+                    self.reads_on(now, id, alarms);
+                }
                 return Came::Nothing;
             }
             if reads == READS {
@@ -71,7 +89,7 @@
             let client = &mut self.clients[id];
             let input = client.input.get_or_insert_with(|| self.pool.take());
             let fresh = input.is_empty();
-            match input.read_from(&*client.stream) {
+            match read(input, &mut client.ahead, &client.stream) {
                 Ok(0) => return Came::Left(self.end(id, Ending::Closed, alarms)),
                 Ok(_) if matches!(client.phase, Phase::Parting) => client.input = None,
                 Ok(_) if fresh && matches!(client.phase, Phase::Head) => client.began = now,
@@ -88,6 +106,16 @@
         }
     }
 
+    /// There may be more behind what was read ahead of one that waits, and the end behind that.
+    fn reads_on(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
+        let room = self.may_read_ahead();
+        let client = &mut self.clients[id];
+        if client.readable && !client.more && room {
+            client.more = true;
+            alarms.set(now + SOON, Due::ClientMore(id));
+        }
+    }
+
     /// On the way to the end there may be less time than the client leaves.
     fn in_time(&self, now: f64, mut came: Came) -> Came {
         match &mut came {
@@ -112,8 +140,7 @@
         loop {
             // At rest is only who has sent nothing: what was read together with the request before counts too.
             let client = self.clients.get(id)?;
-            let sent = client.input.as_ref().is_some_and(|input| !input.is_empty());
-            if sent && client.alarm.is_some_and(|key| self.resting.contains_key(&key)) {
+            if client.has_read() && client.alarm.is_some_and(|key| self.resting.contains_key(&key)) {
                 self.asks(now, id, alarms);
             }
             let client = self.clients.get_mut(id)?;
--- a/crates/dunepond/tests/gone.rs
+++ b/crates/dunepond/tests/gone.rs
@@ -212,6 +212,38 @@
     assert_eq!((story.node.sent("c1.0"), story.node.sent("more0.0")), ((1, 1), (0, 0)));
 }
 
+/// A request of nearly half of what the broker reads into.
+fn long(id: &str) -> String {
+    let body = json!({"buckets": [{"bucket": 0, "part": 1.0}], "body": "x".repeat(30_000)}).to_string();
+    let head = format!("POST /find HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Budget: 2.9\r\n");
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// What it sent fills the system's buffers as well, so that its end is still on its own side.
+#[test]
+fn who_sends_more_than_the_system_holds_and_closes_is_seen_to_go() {
+    let mut story = Story::start();
+    let mut client = Client::to(&story.broker);
+    client.send(&scan("find", "c1", &[0], "2.9"));
+    story.node.wait_for('A', "c1.0");
+    client.stream.set_nonblocking(true).unwrap();
+    story.at_once(|_| {
+        for i in 0.. {
+            let more = long(&format!("more{i}"));
+            if !matches!((&client.stream).write(more.as_bytes()), Ok(count) if count == more.len()) {
+                break;
+            }
+        }
+        hang_up(client);
+    });
+    let closed = Instant::now();
+    story.node.wait_for('B', "c1.0");
+    // It is not its time that was up.
+    assert!(closed.elapsed() < Duration::from_millis(1450), "{:?}", closed.elapsed());
+    story.mark();
+    assert_eq!((story.node.sent("c1.0"), story.node.sent("more0.0")), ((1, 1), (0, 0)));
+}
+
 /// The node's refusal came first, the client's end with it.
 #[test]
 fn a_part_that_failed_is_not_repeated_for_who_has_closed() {
