A signal pending before the program begins is heard: a story for the loader's time

Looked at: SIGHUP or SIGTERM between exec and main. No instruction of the program runs there, so within it only a constructor could come sooner, and the loader's own time would stay open. Not a fault of the program: a process hands its signal mask and what is pending down through exec, so whoever starts it and blocks both has no gap. That the broker hears what was pending, and is not left with its signals blocked, was not tested; now it is (shutdown.rs a_signal_that_was_pending_before_the_program_began_is_heard).

--- a/crates/dunepond/tests/shutdown.rs
+++ b/crates/dunepond/tests/shutdown.rs
@@ -2,12 +2,13 @@
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Write};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use dunepond_lab::store::{Broker, Client, List, Manner, Node, config, program, scan, scratch};
+use dunepond_lab::store::{Broker, Client, List, Manner, Node, config, launch_by, program, scan, scratch};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -97,6 +98,39 @@
     assert_eq!(broker.exit_code(), Some(0));
 }
 
+/// It came while the program was still being loaded, when nothing of the program runs: who starts it closes this gap by
+/// blocking the signal, as a process hands its mask and what is pending down to the one that it becomes.
+#[rstest]
+#[case::hup(libc::SIGHUP, None)]
+#[case::term(libc::SIGTERM, Some(0))]
+fn a_signal_that_was_pending_before_the_program_began_is_heard(
+    #[case] signal: i32,
+    #[case] code: Option<i32>,
+) {
+    let nodes = [Node::start("s-0")];
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut command = Command::new(program());
+    let pend = move || {
+        // SAFETY: all three calls may be made between fork and exec, and the set is written before it is read.
+        unsafe {
+            let mut set = std::mem::zeroed();
+            libc::sigaddset(&mut set, signal);
+            libc::sigprocmask(libc::SIG_BLOCK, &set, std::ptr::null_mut());
+            libc::raise(signal);
+        }
+        Ok(())
+    };
+    // SAFETY: see there.
+    unsafe { command.pre_exec(pend) };
+    let mut broker = Broker::started(launch_by(command, &config(list.address, vec![])));
+    if code.is_some() {
+        return assert_eq!(broker.exit_code(), code);
+    }
+    list.wait_read();
+    assert_eq!(Client::to(&broker).ask(&scan("find", "c1", &[1], "2.0")).status, 200);
+    assert!(broker.said().contains("configuration read again"));
+}
+
 /// They were written whole to a connection that stays open: all are taken.
 #[test]
 fn requests_that_were_pipelined_into_a_shutdown_are_all_answered() {
