What ends at a node's earlier process says nothing of the one that took its place

Seen (a probe on sockets, now a test): a part is out at a node, the list tells of a new process under the same id, the part ends as reset with the old one. That reset and one natural error of the new process set the new one aside. Cause: policy/list.rs listed() forgets the old process's samples, ghosts and setting aside, and keeps what is out there (outs), so that health.rs counts its end as a sample of the new process.

What was sent before the new process's start leaves the node's account; its scan is told of its end as before. handover.rs a_part_that_went_with_its_nodes_old_process... fails without it.

--- a/crates/dunepond-decide/src/policy/list.rs
+++ b/crates/dunepond-decide/src/policy/list.rs
@@ -22,12 +22,12 @@
             let node = self.nodes[row.node].get_or_insert_with(|| Node::new(row, tokens));
             node.standing = row.standing;
             if row.started > node.started {
-                // A new process under the old name: what we hold against the old one says nothing of it.
-                node.started = row.started;
-                node.tokens = tokens;
+                // A new process under the old name: what we hold against the old one says nothing of it, nor
+                // does the end of what went to that one.
+                (node.started, node.tokens, node.aside) = (row.started, tokens, None);
+                node.outs.retain(|out| out.at >= row.started);
                 node.samples.clear();
                 node.ghosts.clear();
-                node.aside = None;
             }
         }
         self.count_warm();
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -504,6 +504,33 @@
     assert_eq!(client.answer().unwrap().status, 200);
 }
 
+/// What the old process took with it is no fault of the new one: its first natural error sets nothing aside.
+#[test]
+fn a_part_that_went_with_its_nodes_old_process_is_no_fault_of_the_new_one() {
+    let hand = Hand::start();
+    let keys = [("/settings/ceilings/secondCopies", json!(false))];
+    let (broker, list) = before(vec![hand.line("s-0", "ready")], &keys);
+    list.wait_read();
+    let mut client = Client::to(&broker);
+    client.send(&scan("find", "c1", &[0], "2.8"));
+    let mut old = hand.accepted();
+    old.call();
+    let mut line = hand.line("s-0", "ready");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    line["born_ms"] = json!(now.as_millis() as u64 + 1);
+    list.tell(vec![line]);
+    let mut wire = hand.accepted();
+    let again = wire.call();
+    wire.serve(&again);
+    assert_eq!(client.answer().unwrap().status, 200);
+    client.send(&scan("fix", "c2", &[0], "2.8"));
+    let call = wire.call();
+    wire.say(&end(&call.id, "fault"));
+    assert_eq!(client.answer().unwrap().status, 502);
+    settled(&broker);
+    assert!(!broker.said().contains("set aside"), "set aside");
+}
+
 /// A new process bears less than the old one did: what waits for it is asked about again.
 #[test]
 fn a_part_that_waits_for_its_connection_leaves_a_node_that_was_replaced() {
