--- a/crates/dunepond/src/clients/answer.rs
+++ b/crates/dunepond/src/clients/answer.rs
@@ -1,4 +1,4 @@
-//! Answers to clients: written, and the connection rested or parted with after them.
+//! Answers to clients: written, and the connection kept or closed after them.
 
 use dunepond_decide::ScanId;
 use tracing::debug;
@@ -91,7 +91,7 @@
                 }
             }
             Phase::Head => self.linger(now, id, alarms),
-            Phase::Body(_) | Phase::Raw(_) | Phase::Parting => {}
+            Phase::Body(_) | Phase::Raw(_) | Phase::Lingering => {}
         }
     }
 }
--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -20,8 +20,8 @@
 const LATE: f64 = 0.25;
 /// How long a client may take to close its side once it has been told of ours and has the whole of its last answer. A
 /// bound of the program: some round trips, however long a query may take.
-const PARTING: f64 = 1.0;
-/// On the way to the end who is parted with may stay for so long after all is answered: the 50 ms by which the protocol page
+const LINGERS: f64 = 1.0;
+/// On the way to the end who lingers may stay for so long after all is answered: the 50 ms by which the protocol page
 /// makes every time limit longer. The kill comes later.
 const STAYS: f64 = 0.05;
 
@@ -128,7 +128,7 @@
             }
         };
         client.input =
-            Some(input).filter(|input| !input.is_empty() && !matches!(client.phase, Phase::Parting));
+            Some(input).filter(|input| !input.is_empty() && !matches!(client.phase, Phase::Lingering));
         match read {
             Ok(0) => Last::Gone(Ending::Closed),
             Ok(_) => {
@@ -161,32 +161,32 @@
     pub(super) fn linger(&mut self, now: f64, id: usize, alarms: &mut Alarms) {
         let Some(client) = self.clients.get_mut(id) else { return };
         let _ = client.stream.shutdown(Shutdown::Write);
-        client.phase = Phase::Parting;
+        client.phase = Phase::Lingering;
         client.began = now;
         client.input = None;
         client.ahead.clear();
         // Closed before who is still sending its body has looked for its answer, the connection would take that back.
-        let time = if client.in_body { self.longest_taking().max(ASKS) } else { PARTING };
-        self.parts(id, now + time, alarms);
+        let time = if client.in_body { self.longest_taking().max(ASKS) } else { LINGERS };
+        self.lingers(id, now + time, alarms);
         self.make_room(alarms);
     }
 
     /// Its side is awaited until then. On the way to the end nobody is waited for that is owed nothing.
-    fn parts(&mut self, id: usize, until: f64, alarms: &mut Alarms) {
+    fn lingers(&mut self, id: usize, until: f64, alarms: &mut Alarms) {
         let key = self.set(id, until.min(self.until + STAYS), alarms);
-        self.parting.insert(key, id);
+        self.lingering.insert(key, id);
     }
 
     /// The rest of its last answer is still in the system's queue, and of use to it: closed now, the connection would be
     /// reset by whatever crosses that. It is awaited on; false if there is no more to wait for.
-    pub(super) fn takes_on(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> bool {
+    pub(super) fn lingers_on(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> bool {
         let until = self.until + STAYS;
         let Some(client) = self.clients.get(id) else { return false };
         let lost = client.began + self.longest_taking();
         let on =
-            matches!(client.phase, Phase::Parting) && now < lost.min(until) && has_unsent(&client.stream);
+            matches!(client.phase, Phase::Lingering) && now < lost.min(until) && has_unsent(&client.stream);
         if on {
-            self.parts(id, lost.min(now + PARTING), alarms);
+            self.lingers(id, lost.min(now + LINGERS), alarms);
         }
         on
     }
@@ -199,7 +199,7 @@
         loop {
             let many = 2 * self.asking.len() > self.most;
             let overdue = self.asking.iter().filter(|(key, _)| key.0 < late || many);
-            let in_order = overdue.chain(&self.parting).chain(&self.resting).chain(&self.asking);
+            let in_order = overdue.chain(&self.lingering).chain(&self.resting).chain(&self.asking);
             // Its turn to be read comes before its turn to go.
             let id = in_order.map(|(_, id)| *id).find(|id| !self.again.contains(id))?;
             if !matches!(self.last_read(now, id), Last::Said) {
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -62,7 +62,7 @@
     Waiting,
     Held(ScanId),
     /// Answered for the last time; what still comes is thrown away until the client closes.
-    Parting,
+    Lingering,
 }
 
 struct Raw {
@@ -117,7 +117,7 @@
     asking: BTreeMap<Key, usize>,
     resting: BTreeMap<Key, usize>,
     /// Whose connections are shut on our side only.
-    parting: BTreeMap<Key, usize>,
+    lingering: BTreeMap<Key, usize>,
     /// Whether the raw form is taken.
     pub raw: bool,
     /// Bodies of which more has come, and who brings it.
@@ -160,7 +160,7 @@
             api: None,
             asking: BTreeMap::new(),
             resting: BTreeMap::new(),
-            parting: BTreeMap::new(),
+            lingering: BTreeMap::new(),
             raw: false,
             moved: Vec::new(),
             stalled: Vec::new(),
--- a/crates/dunepond/src/clients/read.rs
+++ b/crates/dunepond/src/clients/read.rs
@@ -92,7 +92,7 @@
             let fresh = input.is_empty();
             match read(input, &mut client.ahead, &client.stream) {
                 Ok(0) => return Came::Left(self.end(id, Ending::Closed, alarms)),
-                Ok(_) if matches!(client.phase, Phase::Parting) => client.input = None,
+                Ok(_) if matches!(client.phase, Phase::Lingering) => client.input = None,
                 Ok(_) if fresh && matches!(client.phase, Phase::Head) => client.began = now,
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/dunepond/src/clients/time.rs
+++ b/crates/dunepond/src/clients/time.rs
@@ -39,14 +39,14 @@
             alarms.unset(Some(key));
             self.asking.remove(&key);
             self.resting.remove(&key);
-            self.parting.remove(&key);
+            self.lingering.remove(&key);
         }
     }
 
     /// A client has taken too long.
     pub fn slow(&mut self, now: f64, id: usize, alarms: &mut Alarms) -> Option<ScanId> {
         self.calm(id, alarms);
-        if self.takes_on(now, id, alarms) {
+        if self.lingers_on(now, id, alarms) {
             return None;
         }
         let client = self.clients.get_mut(id)?;
