A cold node's next part isn't weighed by its warmth again: its tokens ration it already

Cause: placement.rs load() divided (outstanding + 1) by the warmth, so that an idle cold node lost against a warm one with up to three parts out, while cold.rs fills its tokens by the same warmth: weighed twice.

The new test fails without it: 1.20 where 1.12 is let; the second case gives 0.868 where 0.84 is.

--- a/crates/dunepond-decide/src/policy/placement.rs
+++ b/crates/dunepond-decide/src/policy/placement.rs
@@ -61,8 +61,8 @@
         }
     }
 
-    /// What a node holds of ours, weighed by how much longer than the fleet its last parts took. A node that
-    /// has mended is found out once the others hold as many times more.
+    /// What a node holds of ours, weighed by how much longer than the fleet its last ones took. Warmth weighs
+    /// what it holds, not the next part: tokens ration that, and weighed twice they would be lost unspent.
     pub(super) fn load(&self, id: NodeId, table_type: usize, holders: usize) -> f64 {
         let Some(node) = &self.nodes[id] else { return 0.0 };
         let fault = |s: &Sample| if s.table_type == table_type { self.nearly_all } else { self.median };
@@ -71,7 +71,7 @@
         // crossing, and ties would lose their choice for nothing.
         let near = node.zone == self.site.zone || holders < self.zones.len();
         let far = if near { 1.0 } else { 1.0 + self.site.crossing.map_or(FAR, |price| FAR_A_PRICE * price) };
-        far * (node.outstanding() + 1.0) * slower / node.warmth(&self.site, self.now)
+        far * (node.outstanding() / node.warmth(&self.site, self.now) + 1.0) * slower
     }
 
     /// What dispatches to this node take; a fault comes back soon, and counts for as long as it is said to.
--- a/crates/dunepond-decide/tests/fleet.rs
+++ b/crates/dunepond-decide/tests/fleet.rs
@@ -482,6 +482,33 @@
     }
 }
 
+/// Fourteen of 24 nodes start anew, spread out, so that most segments have warm and cold holders; the tokens alone
+/// ration the cold ones. The warm ones are not to be filled up while cold ones next to them have tokens left.
+#[rstest]
+#[case::many_brokers_beyond_the_capacity(150, 180.0, 1.12)]
+#[case::very_many_brokers(300, 120.0, 0.84)]
+fn warm_nodes_are_not_full_while_cold_ones_have_tokens(
+    #[case] brokers: usize,
+    #[case] scans: f64,
+    #[case] most: f64,
+) {
+    let mut fleet = Fleet::new(brokers, 24, None);
+    fleet.run(4.0, scans, 8);
+    let now = fleet.now;
+    let cold: Vec<_> = (0..24).filter(|n| n * 14 % 24 < 14).collect();
+    fleet.list(&cold.iter().map(|n| (*n, now)).collect::<Vec<_>>());
+    fleet.run(4.0, scans, 8);
+    let of_warm = |s: &&Sent| s.at >= now && !cold.contains(&s.node);
+    let share = fleet.nodes.borrow().sent.iter().filter(of_warm).count() as f64 / 10.0 / 100.0 / 4.0;
+    assert!(share < most, "{share:.2} of what warm nodes can do was sent to them");
+    for node in &cold {
+        let Second { got, n, .. } = fleet.fullest_second(*node, now, f64::MAX);
+        assert!(got > 0.0 && got <= n, "node {node}: {got}, {n} allowed");
+    }
+    fleet.run(2.5, 0.0, 8);
+    fleet.each_scan_was_answered_once();
+}
+
 /// A third of the nodes falls silent and comes back cold, while all brokers have set them aside and hold work for
 /// which they are the second choice: trials and what follows them count like any other part.
 #[rstest]
