Without descriptors, clients that have closed make room before their turn to be read

Log: a scan comes while the dropped crowd is taken out of the backlog, `connection found no descriptor` for each of its parts, again and again in one turn, and right after it 30 clients `closed by the peer`. Cause: clients/closing.rs least() passes over all that wait to be read (`again`), as their turn to be read comes before their turn to go. Where everybody has just been accepted that is everybody, so that nobody makes room, though their ends are there. Ruled out: the test's own order (the crowd has been shut before the scan is sent) and the descriptors' count.

Now, where nobody else can go, those are looked at once more, and one that has closed goes.

--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -201,10 +201,13 @@
             let overdue = self.asking.iter().filter(|(key, _)| key.0 < late || many);
             let in_order = overdue.chain(&self.lingering).chain(&self.resting).chain(&self.asking);
             // Its turn to be read comes before its turn to go.
-            let id = in_order.map(|(_, id)| *id).find(|id| !self.again.contains(id))?;
+            let Some(id) = in_order.map(|(_, id)| *id).find(|id| !self.again.contains(id)) else { break };
             if !matches!(self.last_read(now, id), Last::Said) {
                 return Some(id);
             }
         }
+        // All that could go wait to be read: whoever of them has closed needs no turn.
+        let waiting: Vec<_> = self.asking.values().copied().filter(|id| self.again.contains(id)).collect();
+        waiting.into_iter().find(|id| matches!(self.last_read(now, *id), Last::Gone(_)))
     }
 }
