Whoever has closed makes room, at rest or lingering too; two stories' set-ups written once

Read over: least() looked once more only at those that have not asked, though its comment speaks of all that could go. Clients at rest and lingering that wait to be read stand there too. All three are looked at now; the order is that in which they would go. Tests: what handover.rs and discovery.rs each set up twice (a part that waits for a late connection, a new process whose port is held) is one function each; no expectation changed. No story has a client at rest or lingering in that place: by reading.

--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -207,7 +207,8 @@
             }
         }
         // All that could go wait to be read: whoever of them has closed needs no turn.
-        let waiting: Vec<_> = self.asking.values().copied().filter(|id| self.again.contains(id)).collect();
+        let all = self.asking.values().chain(self.lingering.values()).chain(self.resting.values());
+        let waiting: Vec<_> = all.copied().collect();
         waiting.into_iter().find(|id| matches!(self.last_read(now, *id), Last::Gone(_)))
     }
 }
--- a/crates/dunepond/tests/discovery.rs
+++ b/crates/dunepond/tests/discovery.rs
@@ -4,6 +4,8 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::Child;
 use std::time::{Duration, Instant};
 
 use dunepond_lab::store::{Broker, Client, List, Node, config, launch, scan};
@@ -267,18 +269,27 @@
     assert_eq!(nodes[0].frames('A').len(), 1);
 }
 
+/// A new process whose port is still held, and what it goes on to say.
+fn waits_for_its_port(
+    at: SocketAddr,
+    nodes: &[Node; 2],
+) -> (List, Child, PathBuf, impl Iterator<Item = String>) {
+    let list = List::start(vec![nodes[0].line("ready")]);
+    let mut config = config(list.address, vec![nodes[0].line("ready")]);
+    config["listen"] = json!(at.to_string());
+    let (mut child, file) = launch(&config);
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("GW_LISTEN")), "it says what it waits for");
+    (list, child, file, lines)
+}
+
 /// An old process may still be on its way to its end when the new one begins: until it is killed at the latest.
 #[test]
 fn a_port_that_an_old_process_still_holds_is_waited_for() {
     let nodes = nodes();
     let held = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = held.local_addr().unwrap();
-    let list = List::start(vec![nodes[0].line("ready")]);
-    let mut config = config(list.address, vec![nodes[0].line("ready")]);
-    config["listen"] = json!(at.to_string());
-    let (mut child, file) = launch(&config);
-    let mut lines = BufReader::new(child.stderr.as_mut().unwrap()).lines().map_while(Result::ok);
-    assert!(lines.any(|line| line.contains("GW_LISTEN")), "it says what it waits for");
+    let (_list, mut child, file, mut lines) = waits_for_its_port(at, &nodes);
     drop(held);
     assert!(lines.any(|line| line.contains("listening on")));
     assert_eq!(Client::dial(at).ask("GET /ready HTTP/1.1\r\n\r\n").status, 200);
@@ -332,12 +343,7 @@
     held.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
     held.listen(8).unwrap();
     let at = held.local_addr().unwrap().as_socket().unwrap();
-    let list = List::start(vec![nodes[0].line("ready")]);
-    let mut config = config(list.address, vec![nodes[0].line("ready")]);
-    config["listen"] = json!(at.to_string());
-    let (mut child, file) = launch(&config);
-    let mut lines = BufReader::new(child.stderr.as_mut().unwrap()).lines().map_while(Result::ok);
-    assert!(lines.any(|line| line.contains("GW_LISTEN")), "it says what it waits for");
+    let (_list, mut child, file, mut lines) = waits_for_its_port(at, &nodes);
     let _silent = fill(at);
     let asks = asks_at_a_full_queue(at);
     let since = Instant::now();
--- a/crates/dunepond/tests/handover.rs
+++ b/crates/dunepond/tests/handover.rs
@@ -411,9 +411,8 @@
     assert!(wire.rest().is_empty());
 }
 
-/// Its client has its answer, or has gone, by the time that the connection is up.
-#[test]
-fn nothing_goes_out_for_a_scan_whose_time_is_over_when_its_connection_comes_up() {
+/// A scan of so much time whose only part waits for a connection that comes up late.
+fn waits_for_its_connection(time: &str) -> (Broker, List, Hand, Vec<TcpStream>, Client) {
     let (late, fill) = Hand::full();
     let keys = [
         ("/settings/ceilings/connectTimeoutMs", json!(5000.0)),
@@ -422,8 +421,15 @@
     let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
     list.wait_read();
     let mut client = Client::to(&broker);
-    client.send(&scan("fix", "c1", &[0], "0.5"));
+    client.send(&scan("fix", "c1", &[0], time));
     late.wait_called();
+    (broker, list, late, fill, client)
+}
+
+/// Its client has its answer, or has gone, by the time that the connection is up.
+#[test]
+fn nothing_goes_out_for_a_scan_whose_time_is_over_when_its_connection_comes_up() {
+    let (broker, _list, late, fill, mut client) = waits_for_its_connection("0.5");
     stopped(&broker);
     let asked = Instant::now();
     let wire = late.accepted_late(fill);
@@ -438,16 +444,7 @@
 /// By its last call no byte of it has left, whatever it waits for: asking again is harmless, which the answer says.
 #[test]
 fn a_part_that_still_waits_for_its_connection_at_the_last_call_is_refused() {
-    let (late, fill) = Hand::full();
-    let keys = [
-        ("/settings/ceilings/connectTimeoutMs", json!(5000.0)),
-        ("/settings/services/1/aimMs", json!(400.0)),
-    ];
-    let (broker, list) = before(vec![late.line("s-0", "ready")], &keys);
-    list.wait_read();
-    let mut client = Client::to(&broker);
-    client.send(&scan("fix", "c1", &[0], "0.6"));
-    late.wait_called();
+    let (broker, _list, late, fill, mut client) = waits_for_its_connection("0.6");
     assert_eq!(client.answer().unwrap().status, 429);
     let wire = late.accepted_late(fill);
     drop(broker);
