--- a/crates/dunepond-lab/src/experiments/mod.rs
+++ b/crates/dunepond-lab/src/experiments/mod.rs
@@ -10,6 +10,7 @@
 mod phases;
 mod restart;
 mod search;
+mod shutdown;
 mod work;
 
 use std::path::PathBuf;
@@ -41,7 +42,7 @@
     pub run: fn(&Way) -> anyhow::Result<Figures>,
 }
 
-pub const ALL: [Experiment; 11] = [
+pub const ALL: [Experiment; 12] = [
     Experiment {
         name: "agree",
         what: "brokers that agree on versions: contradictions, cuts, time to agree, talk and what it costs",
@@ -92,6 +93,11 @@
         what: "the same scans at both doors before nodes of both kinds; what the API costs; merging",
         run: search::run,
     },
+    Experiment {
+        name: "shutdown",
+        what: "brokers told to end under clients that use their connections until the kill, by seed (--plays)",
+        run: shutdown::run,
+    },
     Experiment {
         name: "work",
         what: "a busy foreground beside background work that never ends, in simulated time",
--- a/crates/dunepond-lab/src/lib.rs
+++ b/crates/dunepond-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pages;
 pub mod processes;
 pub mod report;
+pub mod shutdown;
 pub mod store;
 pub mod texts;
 pub mod wide;
--- /dev/null
+++ b/crates/dunepond-lab/src/shutdown/client.rs
@@ -0,0 +1,251 @@
+//! Clients that keep using the connections they have for as long as these stay open.
+
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::store::scan;
+
+/// How long one look at a connection waits for something to read.
+const LOOK: Duration = Duration::from_millis(3);
+/// Requests that a client which does not wait for answers has out on its connection at most.
+const PIPELINED: usize = 3;
+/// Segments of the stand-in settings.
+const SEGMENTS: usize = 6;
+/// By the page of the standing test an answer later than this after the client's time is lost.
+const LATE: Duration = Duration::from_millis(500);
+
+/// How a client uses its connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Habit {
+    /// One request after the other, on a new connection once the broker has announced that it closes.
+    Orderly,
+    /// Goes on asking on the same connection, whatever an answer announces, until it is at its end.
+    Stubborn,
+    /// Connects, and asks first this long after the broker was told to end.
+    AsksFirst(Duration),
+    /// Sends each request in two halves, so far apart.
+    Halves(Duration),
+    /// Does not wait for answers before it asks on.
+    Pipelines,
+}
+
+impl Habit {
+    pub fn draw(rng: &mut Pcg64Mcg) -> Self {
+        let pause = Duration::from_millis(rng.random_range(5..600));
+        match rng.random_range(0..10) {
+            0..4 => Self::Orderly,
+            4..6 => Self::Stubborn,
+            6 => Self::AsksFirst(pause * 4),
+            7 | 8 => Self::Halves(pause),
+            _ => Self::Pipelines,
+        }
+    }
+}
+
+/// How a connection ended, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ConnectionEnd {
+    Closed,
+    Reset,
+}
+
+/// One request and what became of it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: String,
+    pub broker: usize,
+    pub habit: Habit,
+    pub replayable: bool,
+    /// When its first byte was handed to the system, and its last.
+    pub began: Instant,
+    pub written: Instant,
+    pub answered: Option<(Instant, u16)>,
+    /// Its connection ended before an answer came.
+    pub ended: Option<(Instant, ConnectionEnd)>,
+}
+
+/// What all clients of a broker share.
+pub struct Site {
+    pub address: SocketAddr,
+    pub broker: usize,
+    pub timeout: Duration,
+    pub non_replayable: f64,
+    /// When the broker was told to end, once it was.
+    pub told: OnceLock<Instant>,
+    /// After that, until when new connections are made, and when the process is killed.
+    pub new_connections_until: Duration,
+    pub kill_after: Duration,
+}
+
+struct Connection {
+    stream: TcpStream,
+    input: Vec<u8>,
+    /// Requests that wait for their answers, by their place in the client's record.
+    waiting: VecDeque<usize>,
+    announced_close: bool,
+    end: Option<ConnectionEnd>,
+}
+
+impl Connection {
+    fn open(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(LOOK)).ok()?;
+        Some(Self { stream, input: Vec::new(), waiting: VecDeque::new(), announced_close: false, end: None })
+    }
+
+    /// Reads what has come, or waits for a moment; the statuses of the answers that are whole.
+    fn look(&mut self) -> Vec<u16> {
+        let mut buffer = [0; 4096];
+        match self.stream.read(&mut buffer) {
+            Ok(0) => self.end = Some(ConnectionEnd::Closed),
+            Ok(count) => self.input.extend_from_slice(&buffer[..count]),
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+                ) => {}
+            Err(_) => self.end = Some(ConnectionEnd::Reset),
+        }
+        std::iter::from_fn(|| self.next_answer()).collect()
+    }
+
+    fn next_answer(&mut self) -> Option<u16> {
+        let head_length = self.input.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
+        let head = String::from_utf8_lossy(&self.input[..head_length]).into_owned();
+        let length = head.split_once("Content-Length: ")?.1.split('\r').next()?.parse::<usize>().ok()?;
+        if self.input.len() < head_length + length {
+            return None;
+        }
+        self.input.drain(..head_length + length);
+        self.announced_close |= head.contains("Connection: close");
+        head.split(' ').nth(1)?.parse().ok()
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> bool {
+        let written = self.stream.write_all(bytes).is_ok();
+        if !written {
+            self.end = Some(ConnectionEnd::Reset);
+        }
+        written
+    }
+}
+
+/// One client at work; what it returns is its record.
+pub struct Client {
+    site: Arc<Site>,
+    name: String,
+    habit: Habit,
+    rng: Pcg64Mcg,
+    connection: Option<Connection>,
+    requests: Vec<Request>,
+    asks_next: Instant,
+}
+
+impl Client {
+    pub fn new(site: Arc<Site>, number: usize, habit: Habit, seed: u64) -> Self {
+        let name = format!("b{}c{number}", site.broker);
+        let rng = Pcg64Mcg::seed_from_u64(seed ^ ((site.broker as u64) << 32) ^ ((number as u64) << 40));
+        let asks_next = Instant::now();
+        Self { site, name, habit, rng, connection: None, requests: Vec::new(), asks_next }
+    }
+
+    /// Works until the broker is killed and a moment beyond, as what it had written may still be on its way.
+    pub fn work(mut self) -> Vec<Request> {
+        loop {
+            let told = self.site.told.get().copied();
+            let over = told.is_some_and(|told| told.elapsed() > self.site.kill_after + LATE);
+            if over {
+                return self.requests;
+            }
+            self.listen();
+            if self.connection.is_none() && !self.connect() {
+                std::thread::sleep(LOOK);
+                continue;
+            }
+            if self.may_ask() {
+                self.ask();
+            }
+        }
+    }
+
+    fn listen(&mut self) {
+        let Some(connection) = &mut self.connection else { return };
+        for status in connection.look() {
+            let Some(place) = connection.waiting.pop_front() else { continue };
+            self.requests[place].answered = Some((Instant::now(), status));
+        }
+        if let Some(end) = connection.end {
+            for place in connection.waiting.drain(..) {
+                self.requests[place].ended = Some((Instant::now(), end));
+            }
+            self.connection = None;
+        } else if connection.announced_close && connection.waiting.is_empty() && self.habit != Habit::Stubborn
+        {
+            self.connection = None;
+        }
+    }
+
+    fn connect(&mut self) -> bool {
+        let too_late = |told: &Instant| told.elapsed() > self.site.new_connections_until;
+        if self.site.told.get().is_some_and(too_late) {
+            return false;
+        }
+        self.connection = Connection::open(self.site.address);
+        self.connection.is_some()
+    }
+
+    fn may_ask(&self) -> bool {
+        let Some(connection) = &self.connection else { return false };
+        let now = Instant::now();
+        let most = if self.habit == Habit::Pipelines { PIPELINED } else { 1 };
+        if now < self.asks_next || connection.waiting.len() >= most {
+            return false;
+        }
+        match self.habit {
+            Habit::AsksFirst(after) => self.site.told.get().is_some_and(|told| now >= *told + after),
+            _ => true,
+        }
+    }
+
+    fn ask(&mut self) {
+        let Some(connection) = &mut self.connection else { return };
+        let replayable = !self.rng.random_bool(self.site.non_replayable);
+        let table_type = if replayable { "find" } else { "fix" };
+        let id = format!("{}r{}", self.name, self.requests.len());
+        let segment = self.rng.random_range(0..SEGMENTS);
+        let segments = [segment, (segment + 1) % SEGMENTS];
+        let segments = if replayable { &segments[..] } else { &segments[..1] };
+        let budget = format!("{:.3}", self.site.timeout.as_secs_f64());
+        let text = scan(table_type, &id, segments, &budget);
+        let began = Instant::now();
+        let (first, second) = text.as_bytes().split_at(text.len() / 2);
+        let mut whole = connection.write(first);
+        if let Habit::Halves(pause) = self.habit {
+            std::thread::sleep(pause);
+        }
+        whole = whole && connection.write(second);
+        if whole {
+            connection.waiting.push_back(self.requests.len());
+            let (broker, habit) = (self.site.broker, self.habit);
+            let written = Instant::now();
+            self.requests.push(Request {
+                id,
+                broker,
+                habit,
+                replayable,
+                began,
+                written,
+                answered: None,
+                ended: None,
+            });
+        }
+        self.asks_next = Instant::now() + Duration::from_millis(self.rng.random_range(0..40));
+    }
+}
--- /dev/null
+++ b/crates/dunepond-lab/src/shutdown/verdict.rs
@@ -0,0 +1,168 @@
+//! Judges what clients and nodes recorded of a shutdown by the rules of the protocol page.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::client::Request;
+
+/// By the page of the standing test an answer later than this after the client's time counts as none.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+/// Between reading its clock and writing a broker may be held up for so long.
+const MAY_BE_HELD: Duration = Duration::from_millis(150);
+/// "Every time limit is longer by 50 ms"; and so much more for what the stand-ins take on a busy machine.
+const SLACK: Duration = Duration::from_millis(50);
+const STAND_INS: Duration = Duration::from_millis(50);
+
+/// A rule that a request shows broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Breach {
+    /// Forwarded to a node, and never answered.
+    ForwardedUnanswered,
+    /// Still unanswered on an open connection when the process was killed, and never forwarded.
+    TakenUnanswered,
+    /// Answered so late that it counts for nothing.
+    AnsweredLate,
+    /// An attempt began after the final answer or after the client's time.
+    AttemptAfterEnd,
+    /// A part that must not run twice was sent twice.
+    RanTwice,
+}
+
+#[derive(Clone, Debug)]
+pub struct Fault {
+    pub breach: Breach,
+    pub request: Request,
+    /// After the first SIGTERM to its broker, when its last byte was written.
+    pub written_after: f64,
+    /// The same for the first attempt, where there was one.
+    pub forwarded_after: Option<f64>,
+}
+
+/// What a play came to.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    pub requests: usize,
+    /// Of those, written after SIGTERM, and written more than 0.7 s after it.
+    pub after_signal: usize,
+    pub late: usize,
+    pub answered: BTreeMap<u16, usize>,
+    /// Ended by a close that crossed them, never forwarded: their clients send them again elsewhere.
+    pub crossed: usize,
+    pub faults: Vec<Fault>,
+    /// Brokers that were still there at the kill, and those that ended with another code than 0.
+    pub killed: usize,
+    pub failed: usize,
+    /// Of answers after SIGTERM, the least time that was left to the kill.
+    pub least_left: Option<Duration>,
+}
+
+/// When each attempt came to a node, by the part's id.
+pub type Attempts = BTreeMap<String, Vec<Instant>>;
+
+pub struct BrokerTimes {
+    pub told: Instant,
+    pub killed: Instant,
+    /// The longest stretch for which its process was stopped: it cannot act sooner.
+    pub longest_hold: Duration,
+}
+
+impl Verdict {
+    pub fn judge(
+        &mut self,
+        requests: Vec<Request>,
+        attempts: &Attempts,
+        brokers: &[BrokerTimes],
+        timeout: Duration,
+    ) {
+        for request in requests {
+            let times = &brokers[request.broker];
+            self.count(&request, times);
+            let mine = |(id, _): &(&String, &Vec<Instant>)| id.starts_with(&format!("{}.", request.id));
+            let parts: Vec<_> = attempts.iter().filter(mine).map(|(_, at)| at).collect();
+            let first = parts.iter().flat_map(|at| at.iter()).min().copied();
+            for breach in breaches(&request, &parts, times, timeout) {
+                let after = |at: Instant| seconds_after(at, times.told);
+                self.faults.push(Fault {
+                    breach,
+                    written_after: after(request.written),
+                    forwarded_after: first.map(after),
+                    request: request.clone(),
+                });
+            }
+            if request.answered.is_none() && request.ended.is_some() && first.is_none() {
+                self.crossed += 1;
+            }
+        }
+    }
+
+    fn count(&mut self, request: &Request, times: &BrokerTimes) {
+        self.requests += 1;
+        let after = seconds_after(request.written, times.told);
+        self.after_signal += usize::from(after > 0.0);
+        self.late += usize::from(after > 0.7);
+        let Some((at, status)) = request.answered else { return };
+        *self.answered.entry(status).or_default() += 1;
+        if at > times.told {
+            let left = times.killed.saturating_duration_since(at);
+            self.least_left = Some(self.least_left.map_or(left, |least| least.min(left)));
+        }
+    }
+
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.after_signal += other.after_signal;
+        self.late += other.late;
+        self.crossed += other.crossed;
+        self.killed += other.killed;
+        self.failed += other.failed;
+        self.faults.extend(other.faults);
+        self.least_left = self.least_left.into_iter().chain(other.least_left).min();
+        for (status, count) in other.answered {
+            *self.answered.entry(status).or_default() += count;
+        }
+    }
+
+    pub fn count_of(&self, breach: Breach) -> usize {
+        self.faults.iter().filter(|fault| fault.breach == breach).count()
+    }
+}
+
+fn breaches(
+    request: &Request,
+    parts: &[&Vec<Instant>],
+    times: &BrokerTimes,
+    timeout: Duration,
+) -> BTreeSet<Breach> {
+    let mut found = BTreeSet::new();
+    let due = request.began + timeout;
+    match request.answered {
+        Some((at, _)) if at > due + LOST_AFTER + times.longest_hold => {
+            found.insert(Breach::AnsweredLate);
+        }
+        Some(_) => {}
+        None if !parts.is_empty() => {
+            found.insert(Breach::ForwardedUnanswered);
+        }
+        // A connection that the kill itself ended was open until then.
+        None if request.ended.is_none_or(|(at, _)| at >= times.killed) && request.written < times.killed => {
+            found.insert(Breach::TakenUnanswered);
+        }
+        None => {}
+    }
+    let answered = request.answered.map_or(due, |(at, _)| at.min(due));
+    let last = answered + SLACK + STAND_INS + times.longest_hold.min(MAY_BE_HELD);
+    if parts.iter().any(|at| at.iter().any(|at| *at > last)) {
+        found.insert(Breach::AttemptAfterEnd);
+    }
+    if !request.replayable && parts.iter().any(|at| at.len() > 1) {
+        found.insert(Breach::RanTwice);
+    }
+    found
+}
+
+fn seconds_after(at: Instant, from: Instant) -> f64 {
+    match at.checked_duration_since(from) {
+        Some(after) => after.as_secs_f64(),
+        None => -from.duration_since(at).as_secs_f64(),
+    }
+}
--- a/crates/dunepond-lab/src/store.rs
+++ b/crates/dunepond-lab/src/store.rs
@@ -355,6 +355,13 @@
         "known": {"seq": 1, "whole": true, "hosts": known}, "settings": settings(), "log": "debug"})
 }
 
+/// Gives all table types this query timeout, in milliseconds, and a target time that goes with it.
+pub fn set_timeouts(config: &mut Value, ms: f64) {
+    for service in config["settings"]["services"].as_array_mut().into_iter().flatten() {
+        (service["deadlineMs"], service["aimMs"]) = (json!(ms), json!(0.6 * ms));
+    }
+}
+
 /// The broker as a process of its own.
 pub struct Broker {
     child: Child,
@@ -434,10 +441,15 @@
 
     /// The same with one key of its configuration told otherwise.
     pub fn before_with(nodes: &[Node], key: &str, value: Value) -> (Self, List) {
+        Self::before_changed(nodes, |config| *config.pointer_mut(key).unwrap() = value)
+    }
+
+    /// A broker before these nodes, its configuration changed; and the list that names them.
+    pub fn before_changed(nodes: &[Node], change: impl FnOnce(&mut Value)) -> (Self, List) {
         let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
         let list = List::start(lines.clone());
         let mut config = config(list.address, lines);
-        *config.pointer_mut(key).unwrap() = value;
+        change(&mut config);
         (Self::start(&config), list)
     }
 
--- a/crates/dunepond/tests/shutdown.rs
+++ b/crates/dunepond/tests/shutdown.rs
@@ -8,7 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use dunepond_lab::store::{Broker, Client, List, Manner, Node, config, launch_by, program, scan, scratch};
+use dunepond_lab::store::{
+    Broker, Client, List, Manner, Node, config, launch_by, program, scan, scratch, set_timeouts,
+};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -37,20 +39,6 @@
     client.stream.read_to_end(&mut Vec::new())
 }
 
-fn before(nodes: &[Node], change: impl FnOnce(&mut Value)) -> (Broker, List) {
-    let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
-    let list = List::start(lines.clone());
-    let mut config = config(list.address, lines);
-    change(&mut config);
-    (Broker::start(&config), list)
-}
-
-fn deadlines(config: &mut Value, ms: f64) {
-    for service in config["settings"]["services"].as_array_mut().unwrap() {
-        (service["deadlineMs"], service["aimMs"]) = (json!(ms), json!(0.6 * ms));
-    }
-}
-
 /// A pipe in place of a file: whoever opens it waits for the other side.
 fn fifo(path: &Path) {
     let _ = std::fs::remove_file(path);
@@ -137,7 +125,7 @@
     let nodes = [Node::start("s-0")];
     nodes[0].behave(Manner::After(1500));
     // With time for what waits behind it.
-    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 3000.0));
+    let (mut broker, _list) = Broker::before_changed(&nodes, |config| set_timeouts(config, 3000.0));
     let mut client = Client::to(&broker);
     client.send(&["c1", "c2", "c3"].map(|id| scan("find", id, &[1], "3.0")).concat());
     nodes[0].wait_for('A', 1);
@@ -158,7 +146,7 @@
 #[test]
 fn who_takes_answers_late_gets_all_of_them_past_a_shutdown() {
     let nodes = [Node::start("s-0")];
-    let (mut broker, _list) = before(&nodes, |_| {});
+    let (mut broker, _list) = Broker::before_changed(&nodes, |_| {});
     let mut client = Client::to(&broker);
     let text = "x".repeat(40_000);
     let requests: Vec<_> = (0..120)
@@ -190,7 +178,7 @@
 #[test]
 fn what_stood_still_past_the_first_step_closes_with_its_answers_all_the_same() {
     let nodes = [Node::start("s-0")];
-    let (mut broker, _list) = before(&nodes, |_| {});
+    let (mut broker, _list) = Broker::before_changed(&nodes, |_| {});
     let mut client = Client::to(&broker);
     assert_eq!(client.ask(&scan("find", "c1", &[1], "2.0")).status, 200);
     let start = Instant::now();
@@ -217,7 +205,7 @@
     #[case] ended: f64,
 ) {
     let nodes = [Node::start("s-0")];
-    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 1000.0 * timeout));
+    let (mut broker, _list) = Broker::before_changed(&nodes, |config| set_timeouts(config, 1000.0 * timeout));
     let mut client = Client::to(&broker);
     client.send(said);
     told_to_end(&broker);
@@ -233,7 +221,7 @@
 fn what_was_taken_is_answered_before_the_kill_where_query_timeouts_are_long() {
     let nodes = [Node::start("s-0")];
     nodes[0].behave(Manner::Hang);
-    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 60_000.0));
+    let (mut broker, _list) = Broker::before_changed(&nodes, |config| set_timeouts(config, 60_000.0));
     let mut clients: Vec<_> = (0..2).map(|_| Client::to(&broker)).collect();
     let ask = |client: &mut Client, id| client.send(&scan("fix", id, &[1], "59.0"));
     ask(&mut clients[0], "c1");
@@ -258,7 +246,7 @@
     let lines: Vec<_> = nodes.iter().map(|n| n.line("ready")).collect();
     let list = List::start(lines.clone());
     let mut config = config(list.address, lines);
-    deadlines(&mut config, 800.0);
+    set_timeouts(&mut config, 800.0);
     let mut brokers: Vec<_> = (0..3).map(|_| Broker::start(&config)).collect();
     let ask = |broker: &Broker, i: usize, when: &str| {
         let mut client = Client::to(broker);
@@ -287,7 +275,7 @@
 fn who_stays_after_its_last_answer_does_not_hold_the_end_up() {
     let nodes = [Node::start("s-0")];
     nodes[0].behave(Manner::Hang);
-    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 500.0));
+    let (mut broker, _list) = Broker::before_changed(&nodes, |config| set_timeouts(config, 500.0));
     let mut client = Client::to(&broker);
     told_to_end(&broker);
     let start = Instant::now();
@@ -301,7 +289,7 @@
 fn a_second_sigterm_changes_nothing() {
     let nodes = [Node::start("s-0")];
     nodes[0].behave(Manner::After(700));
-    let (mut broker, _list) = before(&nodes, |_| {});
+    let (mut broker, _list) = Broker::before_changed(&nodes, |_| {});
     let mut client = Client::to(&broker);
     client.send(&scan("find", "c1", &[1], "3.0"));
     nodes[0].wait_for('A', 1);
@@ -336,7 +324,7 @@
 #[test]
 fn a_burst_over_the_cap_is_answered() {
     let nodes = [Node::start("s-0")];
-    let (broker, _list) = before(&nodes, |config| config["limits"]["sockets"] = json!(48));
+    let (broker, _list) = Broker::before_changed(&nodes, |config| config["limits"]["sockets"] = json!(48));
     assert_eq!(Client::to(&broker).ask(&scan("find", "c0", &[1], "2.0")).status, 200);
     broker.signal("STOP");
     let mut clients: Vec<_> = (0..60).map(|_| Client::to(&broker)).collect();
@@ -353,7 +341,7 @@
 fn a_configuration_half_written_changes_nothing(#[values(false, true)] ends: bool) {
     let nodes = [Node::start("s-0"), Node::start("s-1")];
     nodes[0].behave(Manner::After(300));
-    let (mut broker, list) = before(&nodes[..1], |_| {});
+    let (mut broker, list) = Broker::before_changed(&nodes[..1], |_| {});
     list.wait_read();
     let mut client = Client::to(&broker);
     client.send(&scan("find", "c1", &[1], "3.0"));
@@ -393,7 +381,7 @@
     let nodes = [Node::start("s-0"), Node::start("s-1")];
     nodes[0].behave(one);
     nodes[1].behave(other);
-    let (mut broker, _list) = before(&nodes, |config| deadlines(config, 3000.0));
+    let (mut broker, _list) = Broker::before_changed(&nodes, |config| set_timeouts(config, 3000.0));
     let requests: Vec<_> = (0..4).map(|i| scan("find", &format!("c{i}"), &[1], "3.0")).collect();
     let mut clients: Vec<_> = requests.iter().map(|_| Client::to(&broker)).collect();
     let sent = |request: &str| if one == Manner::Serve { request.len() / 2 } else { request.len() };
