A request's time runs from when its first byte came, however long it waited for the broker

Now clients/arrivals.rs keeps when the bytes came that are not used yet. The careful side is taken: some requests are refused that had time left after a pause. The API's door counts the same way. The first list comes into force before those who waited for it are taken in; before, that hung on the order of two alarms for the same moment.

One test was wrong: stories.rs the_time_left_of_a_request_close_behind_another_counts_from_that_ones_answer asked that a budget of 0.24 s be served 0.25 s after it was sent. The protocol page has it 'counted from when the client sent the request', and no attempt may come after its time. It is replaced by two cases: one whose time is over is refused and never sent on, one with time left is served.

--- a/crates/dunepond-decide/src/policy/shutdown.rs
+++ b/crates/dunepond-decide/src/policy/shutdown.rs
@@ -23,7 +23,7 @@
 /// before. Small against the time in which new connections come, so that counting from there closes no door early.
 pub const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Between two looks that lie further apart than this the process was held up for longer than any term allows for.
-pub const NOTICEABLE_PAUSE: f64 = HELD_UP + SLACK;
+pub const NOTICEABLE_PAUSE: f64 = HELD_UP;
 /// So long after SIGTERM an old process may still be there.
 pub const LONGEST_SHUTDOWN: f64 = LONGEST_COUNTED + KILL_AFTER_DEADLINE;
 
--- a/crates/dunepond/src/api.rs
+++ b/crates/dunepond/src/api.rs
@@ -29,8 +29,9 @@
     pub customer: usize,
     pub again: bool,
     pub id: String,
-    /// How long its head says that the client will wait.
+    /// How long its head says that the client will wait, and since when: its first byte came then.
     pub budget: Option<f64>,
+    pub came: f64,
 }
 
 impl Door {
@@ -40,8 +41,8 @@
         Self { limits, bounds, types }
     }
 
-    /// Reads a request; what must not run twice is updated and not searched, and the other way round.
-    pub fn read(&self, head: &Head, body: &[u8]) -> Result<Request, ApiError> {
+    /// Reads a request of which the first byte came then; what must not run twice is updated and not searched, and the other way round.
+    pub fn read(&self, head: &Head, body: &[u8], came: f64) -> Result<Request, ApiError> {
         let call = read(&head.method, &head.path, body, &self.bounds.table_types, &self.limits)?;
         let fits = |search: &Search, update: bool| {
             let name = &self.bounds.table_types[search.index];
@@ -85,6 +86,7 @@
             again: head.again,
             id: if plain { head.call_id.chars().take(64).collect() } else { String::new() },
             budget,
+            came,
         })
     }
 
@@ -93,7 +95,7 @@
     }
 
     /// The scan that a search comes to. Its parts weigh the same: which holds more is told nowhere.
-    pub fn asked(&self, search: &Search, request: &Request, call_id: String, now: f64) -> Asked {
+    pub fn asked(&self, search: &Search, request: &Request, call_id: String) -> Asked {
         let segs = routing::segments(&search.routing, self.bounds.segs);
         let weight = 1.0 / segs.len().max(1) as f64;
         let wait = [search.timeout, request.budget, Some(self.types[search.index].2)];
@@ -101,7 +103,7 @@
             call_id,
             table_type: search.index,
             customer: request.customer,
-            expires_at: now + wait.into_iter().flatten().fold(f64::MAX, f64::min),
+            expires_at: request.came + wait.into_iter().flatten().fold(f64::MAX, f64::min),
             resent: request.again,
             parts: segs.into_iter().map(|seg| Part { seg, weight, only: None }).collect(),
             text: Text::Short(search.text().into()),
--- a/crates/dunepond/src/clients/accept.rs
+++ b/crates/dunepond/src/clients/accept.rs
@@ -10,7 +10,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::warn;
 
-use super::{Client, Clients, Phase};
+use super::{Arrivals, Client, Clients, Door, Phase};
 use crate::buffers::Outflow;
 use crate::clock::{Alarms, Due};
 use crate::ending::Ending;
@@ -42,37 +42,41 @@
             turn.ready.push_back(Ready::Accept(api));
             Ok(PostAction::Continue)
         });
-        self.listeners.push((listener, token.map_err(|e| e.error)?, api));
+        self.listeners.push(Door { listener, token: token.map_err(|e| e.error)?, api, waited_since: None });
         Ok(())
     }
 
     /// Takes in some of those that have come; true if there may be more.
     pub fn accept(&mut self, now: f64, api: bool, alarms: &mut Alarms) -> bool {
         for _ in 0..ACCEPTS {
-            let Some(at) = self.listeners.iter().position(|door| door.2 == api) else { return false };
+            let Some(at) = self.listeners.iter().position(|door| door.api == api) else { return false };
             let full = self.clients.len() >= self.most;
             let least = if full { self.least(now) } else { None };
             if full && least.is_none() {
                 // Who is to be read may turn out to be nobody that is owed an answer.
                 let soon = !self.again.is_empty();
-                self.pause(soon.then_some(now), alarms);
+                self.pause(now, soon.then_some(now), alarms);
                 return false;
             }
-            match self.listeners[at].0.accept() {
+            match self.listeners[at].listener.accept() {
                 Ok((stream, peer)) => {
                     // Not sooner: there may be nobody to make room for.
                     least.map(|id| self.end(id, Ending::Unused, alarms));
-                    match self.enter(now, stream, api, alarms) {
+                    let waited_since = self.listeners[at].waited_since;
+                    match self.enter(now, stream, api, waited_since, alarms) {
                         Ok(id) => self.again.push(id),
                         Err(e) => warn!("client {peer}: not taken in: {e}"),
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.listeners[at].waited_since = None;
+                    return false;
+                }
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     warn!("accepting pauses: {e}");
-                    self.pause(Some(now + NO_MEANS), alarms);
+                    self.pause(now, Some(now + NO_MEANS), alarms);
                     return false;
                 }
             }
@@ -92,11 +96,14 @@
         now: f64,
         stream: TcpStream,
         api: bool,
+        waited_since: Option<f64>,
         alarms: &mut Alarms,
     ) -> calloop::Result<usize> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
+        let came = self.came(now);
+        let connected = waited_since.map_or(came, |since| since.min(came));
         let entry = self.clients.vacant_entry();
         let id = entry.key();
         let token = watch(&self.handle, &stream, move |readable| Ready::Client(id, readable));
@@ -111,6 +118,7 @@
             readable: true,
             seen: f64::MIN,
             hung_up: None,
+            arrivals: Arrivals::since(connected),
             began: now,
             keep: true,
             in_body: false,
@@ -122,9 +130,12 @@
     }
 
     /// Stops accepting until a connection has gone, or until a time.
-    fn pause(&mut self, until: Option<f64>, alarms: &mut Alarms) {
+    fn pause(&mut self, now: f64, until: Option<f64>, alarms: &mut Alarms) {
         if !self.paused {
-            self.paused = self.listeners.iter().all(|(_, token, _)| self.handle.disable(token).is_ok());
+            self.listeners.iter_mut().for_each(|door| {
+                door.waited_since.get_or_insert(now);
+            });
+            self.paused = self.listeners.iter().all(|door| self.handle.disable(&door.token).is_ok());
         }
         if let Some(until) = until {
             alarms.set(until, Due::Accept);
@@ -140,12 +151,12 @@
 
     pub fn resume(&mut self) {
         if self.paused {
-            self.paused = !self.listeners.iter().all(|(_, token, _)| self.handle.enable(token).is_ok());
+            self.paused = !self.listeners.iter().all(|door| self.handle.enable(&door.token).is_ok());
         }
     }
 
     /// Nobody is taken in before `until`, or before `resume`; who comes waits unanswered for so long.
-    pub fn hold(&mut self, until: f64, alarms: &mut Alarms) {
-        self.pause(Some(until), alarms);
+    pub fn hold(&mut self, now: f64, until: f64, alarms: &mut Alarms) {
+        self.pause(now, Some(until), alarms);
     }
 }
--- a/crates/dunepond/src/clients/answer.rs
+++ b/crates/dunepond/src/clients/answer.rs
@@ -50,7 +50,6 @@
         client.keep &= !closes;
         client.out.put(&http::answer(status, body, wait, client.keep));
         client.phase = Phase::Head;
-        client.began = now;
         self.again.push(id);
         self.write(now, id, alarms);
     }
--- a/crates/dunepond/src/clients/closing.rs
+++ b/crates/dunepond/src/clients/closing.rs
@@ -52,8 +52,8 @@
         if self.paused {
             return false;
         }
-        for (_, token, _) in std::mem::take(&mut self.listeners) {
-            self.handle.remove(token);
+        for door in std::mem::take(&mut self.listeners) {
+            self.handle.remove(door.token);
         }
         true
     }
@@ -113,13 +113,14 @@
 
     /// Reads once more, whether a readiness has told of something or not.
     pub(super) fn last_read(&mut self, now: f64, id: usize) -> Last {
+        let came = self.came(now);
         let Some(client) = self.clients.get_mut(id) else { return Last::Gone(Ending::Closed) };
         if !client.ahead.is_empty() {
             self.again.push(id);
             return Last::Said;
         }
         let mut input = client.input.take().unwrap_or_else(|| self.pool.take());
-        let fresh = input.is_empty();
+        let before = input.held().len();
         let read = loop {
             match input.read_from(&*client.stream) {
                 _ if input.is_full() => break Ok(1),
@@ -127,14 +128,12 @@
                 read => break read,
             }
         };
+        client.arrivals.read(input.held().len() - before, came);
         client.input =
             Some(input).filter(|input| !input.is_empty() && !matches!(client.phase, Phase::Lingering));
         match read {
             Ok(0) => Last::Gone(Ending::Closed),
             Ok(_) => {
-                if fresh && matches!(client.phase, Phase::Head) {
-                    client.began = now;
-                }
                 client.readable = true;
                 self.again.push(id);
                 Last::Said
--- a/crates/dunepond/src/clients/hangup.rs
+++ b/crates/dunepond/src/clients/hangup.rs
@@ -24,7 +24,7 @@
         let Some(client) = self.clients.get_mut(id) else { return false };
         if client.hung_up.is_none() && (client.readable || now - client.seen >= SEEN) {
             client.seen = now;
-            let ending = self.look(id);
+            let ending = self.look(now, id);
             self.clients[id].hung_up = ending;
             self.hung_up.extend(ending.map(|_| id));
         }
@@ -61,7 +61,8 @@
 
     /// Reads ahead what has come, as its end stands behind that. Where this may not be read yet, or there is no room
     /// for it, the system is asked.
-    fn look(&mut self, id: usize) -> Option<Ending> {
+    fn look(&mut self, now: f64, id: usize) -> Option<Ending> {
+        let came = self.came(now);
         let (room, ahead_room) = (self.pool.out() < self.most_buffers, self.may_read_ahead());
         let client = &mut self.clients[id];
         let paced = client.more || matches!(&client.phase, Phase::Raw(raw) if !raw.all);
@@ -82,10 +83,11 @@
             let last = if behind { client.ahead.back_mut() } else { None };
             match last.unwrap_or(input).read_from(&*client.stream) {
                 Ok(0) => return Some(Ending::Closed),
-                Ok(_) => {}
+                Ok(count) => client.arrivals.read(count, came),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     client.readable = false;
+                    client.arrivals.all_read();
                     if !had && client.input.as_ref().is_some_and(Buffer::is_empty) {
                         client.input = None;
                     }
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod answer;
+mod arrivals;
 mod closing;
 mod hangup;
 mod raw;
@@ -20,7 +21,7 @@
 use serde_json::json;
 use slab::Slab;
 
-use crate::api::{Door, Request};
+use crate::api::{self, Request};
 use crate::body::{Body, Text};
 use crate::buffers::{Buffer, Outflow, Pool};
 use crate::clock::Key;
@@ -28,6 +29,7 @@
 use crate::http::{Head, Message};
 use crate::turn::Handle;
 pub use accept::listen;
+use arrivals::Arrivals;
 
 /// A scan as a client asks for it.
 pub struct Asked {
@@ -90,7 +92,8 @@
     /// When it was last found to be there; and how it ended, once it was not.
     seen: f64,
     hung_up: Option<Ending>,
-    /// When the first byte of this request was read.
+    arrivals: Arrivals,
+    /// When the first byte of this request came; or when lingering began.
     began: f64,
     keep: bool,
     /// It was answered, or is, in the middle of a body of the raw form.
@@ -100,6 +103,16 @@
     alarm: Option<Key>,
 }
 
+/// Where clients are taken in.
+struct Door {
+    listener: Rc<TcpListener>,
+    token: RegistrationToken,
+    /// It is the API's.
+    api: bool,
+    /// Since when nobody was taken in here, until all that came meanwhile has been.
+    waited_since: Option<f64>,
+}
+
 pub struct Clients {
     handle: Handle,
     pool: Pool,
@@ -107,11 +120,11 @@
     most: usize,
     most_buffers: usize,
     bounds: Rc<Bounds>,
-    /// The doors, and whether each is the API's. What comes to either is bounded together.
-    listeners: Vec<(Rc<TcpListener>, RegistrationToken, bool)>,
+    /// What comes to either door is bounded together.
+    listeners: Vec<Door>,
     paused: bool,
     /// What the API's door goes by, where there is one.
-    pub api: Option<Rc<Door>>,
+    pub api: Option<Rc<api::Door>>,
     /// By their alarms, so the longest first: who has connected or begun and not asked yet, and who waits for
     /// nothing. At the cap these make room.
     asking: BTreeMap<Key, usize>,
@@ -130,6 +143,8 @@
     hung_up: Vec<usize>,
     /// Scans can be served, as far as the list goes.
     pub may_serve: bool,
+    /// Since when what is read may have come, where the process stood still; what is read came just now otherwise.
+    pub came_since: Option<f64>,
     /// After SIGTERM: not ready; then also: each connection closes after its answer.
     pub leaving: bool,
     pub closing: bool,
@@ -167,6 +182,7 @@
             again: Vec::new(),
             hung_up: Vec::new(),
             may_serve: false,
+            came_since: None,
             leaving: false,
             closing: false,
             rest_is_over: false,
@@ -179,6 +195,11 @@
     pub fn count(&self) -> usize {
         self.clients.len()
     }
+
+    /// When what is read now came, at the earliest.
+    fn came(&self, now: f64) -> f64 {
+        self.came_since.map_or(now, |since| since.min(now))
+    }
 }
 
 impl Client {
@@ -189,9 +210,14 @@
         }
     }
 
-    /// Something has been read of it that no request was taken out of yet.
+    /// How much has been read of it that no request was taken out of yet.
+    fn unused(&self) -> usize {
+        let held = self.input.iter().chain(&self.ahead);
+        held.map(|buffer| buffer.held().len()).sum()
+    }
+
     fn has_read(&self) -> bool {
-        self.input.as_ref().is_some_and(|input| !input.is_empty()) || !self.ahead.is_empty()
+        self.unused() > 0
     }
 
     fn unasked(&self) -> bool {
--- a/crates/dunepond/src/clients/read.rs
+++ b/crates/dunepond/src/clients/read.rs
@@ -6,7 +6,7 @@
 
 use tracing::debug;
 
-use super::{Came, Client, Clients, Phase, complaint};
+use super::{Arrivals, Came, Client, Clients, Phase, complaint};
 use crate::api;
 use crate::buffers::{Buffer, SIZE};
 use crate::clock::{Alarms, Due};
@@ -19,9 +19,20 @@
 pub(super) const READS: usize = 4;
 const SOON: f64 = 0.001;
 
-/// One read behind what the input holds: of what was read ahead, as long as there is some.
-fn read(input: &mut Buffer, ahead: &mut VecDeque<Buffer>, stream: &TcpStream) -> io::Result<usize> {
-    let Some(first) = ahead.front_mut() else { return input.read_from(stream) };
+/// One read behind what the input holds: of what was read ahead, as long as there is some; or else what came then at the
+/// earliest.
+fn read(
+    input: &mut Buffer,
+    ahead: &mut VecDeque<Buffer>,
+    arrivals: &mut Arrivals,
+    stream: &TcpStream,
+    came: f64,
+) -> io::Result<usize> {
+    let Some(first) = ahead.front_mut() else {
+        let count = input.read_from(stream)?;
+        arrivals.read(count, came);
+        return Ok(count);
+    };
     let count = input.read_from(first.held())?;
     first.consume(count);
     if first.is_empty() {
@@ -59,7 +70,7 @@
                 if self.clients.get(id).is_some_and(|client| client.readable) {
                     self.again.push(id);
                 }
-                return self.in_time(now, came);
+                return self.in_time(came);
             }
             let Some(client) = self.clients.get_mut(id) else { return Came::Nothing };
             // Before it is read, so that no buffer waits with it for the body to go on.
@@ -87,17 +98,17 @@
             if client.input.is_none() && self.pool.out() >= self.most_buffers {
                 self.spare(id, alarms);
             }
+            let came = self.came(now);
             let client = &mut self.clients[id];
             let input = client.input.get_or_insert_with(|| self.pool.take());
-            let fresh = input.is_empty();
-            match read(input, &mut client.ahead, &client.stream) {
+            match read(input, &mut client.ahead, &mut client.arrivals, &client.stream, came) {
                 Ok(0) => return Came::Left(self.end(id, Ending::Closed, alarms)),
                 Ok(_) if matches!(client.phase, Phase::Lingering) => client.input = None,
-                Ok(_) if fresh && matches!(client.phase, Phase::Head) => client.began = now,
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     (client.readable, client.seen) = (false, now);
+                    client.arrivals.all_read();
                     if input.is_empty() {
                         client.input = None;
                     }
@@ -117,15 +128,11 @@
         }
     }
 
-    /// On the way to the end there may be less time than the client leaves. That a scan would outlast the process is the
-    /// module's to see, so that it keeps its own.
-    fn in_time(&self, now: f64, mut came: Came) -> Came {
-        match &mut came {
-            Came::Opens(asked, _) => asked.expires_at = asked.expires_at.min(self.until),
-            Came::Api(request) if self.leaving => {
-                request.budget = Some(request.budget.unwrap_or(f64::MAX).min(self.until - now));
-            }
-            Came::Scan(_) | Came::Api(_) | Came::Left(_) | Came::Nothing => {}
+    /// On the way to the end there may be less time for a body to come than the client leaves. A scan without one keeps its
+    /// time, as it is for the module to see that it would outlast the process.
+    fn in_time(&self, mut came: Came) -> Came {
+        if let Came::Opens(asked, _) = &mut came {
+            asked.expires_at = asked.expires_at.min(self.until);
         }
         came
     }
@@ -150,6 +157,11 @@
             if client.out.waiting() > SIZE {
                 return None;
             }
+            if matches!(client.phase, Phase::Head)
+                && let Some(came) = client.arrivals.first_of(client.unused())
+            {
+                client.began = came;
+            }
             let input = client.input.as_mut()?;
             let outcome = match std::mem::replace(&mut client.phase, Phase::Waiting) {
                 Phase::Head => match http::request(input) {
@@ -229,7 +241,7 @@
             let began = client.began;
             if let Some(door) = self.api.clone().filter(|_| client.api) {
                 let read = outcome.map_err(|why| api::refused(&why));
-                match read.and_then(|message| door.read(&message.head, message.text())) {
+                match read.and_then(|message| door.read(&message.head, message.text(), began)) {
                     Ok(request) => return Some(Came::Api(Box::new(request))),
                     Err(e) => {
                         debug!("client {id}: {e}");
--- a/crates/dunepond/src/desk/take.rs
+++ b/crates/dunepond/src/desk/take.rs
@@ -62,7 +62,7 @@
                 Ok(search) => {
                     let id = if request.id.is_empty() { "api" } else { &request.id };
                     let call_id = format!("{id}-{number}-{place}");
-                    let asked = door.asked(search, request, call_id, now);
+                    let asked = door.asked(search, request, call_id);
                     let searching = Searching::new(&door, number, place, search, call, now);
                     let scan = self.hold(client, asked, Some(Box::new(searching)));
                     if let Some(open) = self.requests.get_mut(&number) {
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -55,14 +55,16 @@
     /// The clock stands still during a call.
     fn tick(&mut self) -> f64 {
         self.desk.now = self.clock.now();
+        let apart = (self.this_turn - self.turn_before).max(self.desk.now - self.this_turn);
+        self.desk.clients.came_since = (apart > NOTICEABLE_PAUSE).then_some(self.turn_before);
         self.look_at_fleet();
         self.desk.now
     }
 
     /// The loop has come round with something to do, or to look for signals.
     fn begin_turn(&mut self) {
+        self.turn_before = std::mem::replace(&mut self.this_turn, self.clock.now());
         let now = self.tick();
-        self.turn_before = std::mem::replace(&mut self.this_turn, now);
         let apart = now - self.turn_before;
         if apart > NOTICEABLE_PAUSE {
             warn!("stood still for {apart:.3} s");
@@ -114,6 +116,15 @@
         self.settle();
     }
 
+    /// Nobody was taken in for a while: who waits at the listeners is looked for at once, so that it is known who of those
+    /// that come has waited.
+    fn take_in_waiting(&mut self) {
+        self.desk.clients.resume();
+        for api in [false, true] {
+            self.desk.clients.accept(self.desk.now, api, &mut self.desk.alarms);
+        }
+    }
+
     fn client_ready(&mut self, id: usize, readable: bool) {
         let now = self.tick();
         self.desk.clients.ready(now, id, readable, &mut self.desk.alarms);
@@ -143,7 +154,7 @@
         let now = self.tick();
         for news in self.discovery.ready(now, readable, &mut self.desk.alarms) {
             if self.known.take().is_some() {
-                self.desk.clients.resume();
+                self.take_in_waiting();
             }
             self.listed(news);
         }
@@ -347,14 +358,14 @@
                     self.call_discovery();
                 }
                 Due::Accept => {
-                    self.desk.clients.resume();
+                    self.take_in_waiting();
                     self.make_room_to_end();
                 }
                 Due::FirstList => {
                     if let Some(known) = self.known.take() {
                         info!("discovery is silent; the configuration's list is in force until it speaks");
                         self.listed(known);
-                        self.desk.clients.resume();
+                        self.take_in_waiting();
                     }
                 }
                 Due::Drain => self.drain(),
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -224,8 +224,9 @@
         world.desk.alarms.set(now + keeping.every(), Due::Snapshot);
     }
     if world.known.is_some() {
-        world.desk.clients.hold(now + FIRST_LIST.min(held_at_most), &mut world.desk.alarms);
+        // The list comes into force before who waited for it is taken in.
         world.desk.alarms.set(now + FIRST_LIST, Due::FirstList);
+        world.desk.clients.hold(now, now + FIRST_LIST.min(held_at_most), &mut world.desk.alarms);
     }
     world.discovery.call(now, &mut world.desk.alarms);
     info!("listening on {local}");
--- a/crates/dunepond/tests/stories.rs
+++ b/crates/dunepond/tests/stories.rs
@@ -642,15 +642,24 @@
     assert_eq!((answer.status, answer.body), (200, json!({"finished": false, "found": found})));
 }
 
-/// It was read with the one before it, but could not be begun sooner.
-#[test]
-fn the_time_left_of_a_request_close_behind_another_counts_from_that_ones_answer() {
+/// By the protocol page a budget is "counted from when the client sent the request". It was sent with the one before it, which
+/// took 0.25 s.
+#[rstest]
+#[case::that_is_over_by_then(0.24, 429, 0)]
+#[case::that_lasts(0.9, 200, 1)]
+fn the_time_left_of_a_request_close_behind_another_counts_from_when_both_came(
+    #[case] budget: f64,
+    #[case] status: u16,
+    #[case] attempts: usize,
+) {
     let nodes = nodes(1);
     nodes[0].behave(Manner::SlowFor(1));
     let (broker, _list) = Broker::before(&nodes);
     let mut client = Client::to(&broker);
-    client.send(&(scan("find", "c1", &[1], "2.0") + &scan("find", "c2", &[0], "0.24")));
-    assert_eq!((client.answer().unwrap().status, client.answer().unwrap().status), (200, 200));
+    client.send(&(scan("find", "c1", &[1], "2.0") + &scan("find", "c2", &[0], &budget.to_string())));
+    assert_eq!((client.answer().unwrap().status, client.answer().unwrap().status), (200, status));
+    let of_the_second = nodes[0].frames('A').iter().filter(|frame| frame.starts_with("c2.")).count();
+    assert_eq!(of_the_second, attempts);
 }
 
 #[test]
