--- a/crates/dunepond/src/lib.rs
+++ b/crates/dunepond/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logger;
 pub mod migrate;
 mod questions;
+mod reread;
 mod servers;
 mod signals;
 pub mod turn;
--- a/crates/dunepond/src/turn.rs
+++ b/crates/dunepond/src/turn.rs
@@ -10,6 +10,8 @@
 use dunepond_bodies::Done;
 use dunepond_work::Finished;
 
+use crate::reread::Configuration;
+
 /// What has happened, to whom; `true` where it can be read. The id may have gone to another within the turn: that
 /// one is then told of a readiness too many, which costs it a read for nothing.
 pub enum Ready {
@@ -28,6 +30,8 @@
     /// What the fleet has agreed on has changed.
     Fleet,
     Reread,
+    /// The configuration has been read again.
+    Configuration(Box<Configuration>),
     End,
 }
 
--- a/crates/dunepond/src/world/changing.rs
+++ b/crates/dunepond/src/world/changing.rs
@@ -6,16 +6,25 @@
 
 use super::World;
 use crate::clock::Due;
-use crate::config;
 use crate::logger;
+use crate::reread::Configuration;
 
 impl World {
     /// The configuration is to be read again. What it says of discovery and of the log is in force at once; the
     /// rest is checked as at the start and waits for one, as scans in hand go by it. One that will not do
     /// changes nothing.
     pub(super) fn told_to_reread(&mut self) {
+        match self.rereader.read() {
+            Ok(true) => {}
+            Ok(false) => warn!("the configuration is still being read; it will be read once more after that"),
+            Err(e) => error!("the configuration in force stays: no thread to read it: {e}"),
+        }
+    }
+
+    /// The configuration has been read.
+    pub(super) fn reread(&mut self, configuration: Configuration) {
         let now = self.tick();
-        match config::reread(|name| std::env::var(name).ok()) {
+        match configuration.start {
             Ok(start) => {
                 info!("configuration read again");
                 logger::set_level(start.level);
@@ -27,13 +36,17 @@
             }
             Err(Bad(line)) => error!("the configuration in force stays: {line}"),
         }
-        match self.hooks.operator.as_deref().map(config::operator) {
+        match configuration.operator {
             Some(Ok(operator)) => self.told_to_change(operator),
             Some(Err(Bad(lines))) => {
                 lines.lines().for_each(|line| error!("the operator's file in force stays: {line}"));
             }
             None => {}
         }
+        if self.rereader.has_come() {
+            self.told_to_reread();
+        }
+        self.settle();
     }
 
     /// What may change under way does; the rest is named and waits for a start.
--- a/crates/dunepond/src/world/mod.rs
+++ b/crates/dunepond/src/world/mod.rs
@@ -20,6 +20,7 @@
 use crate::fleet::Fleet;
 use crate::keeping::Keeping;
 use crate::list::{DiscoveryClient, News};
+use crate::reread::Rereader;
 use crate::turn::Ready;
 pub use start::{Hooks, serve};
 
@@ -36,7 +37,7 @@
     keeping: Option<Keeping>,
     /// An audit waits for its turn.
     audit: bool,
-    hooks: Hooks,
+    rereader: Rereader,
     operator: Operator,
     /// The list of the configuration, until discovery speaks or has been silent for too long.
     known: Option<News>,
@@ -106,6 +107,7 @@
                 self.settle();
             }
             Ready::Reread => self.told_to_reread(),
+            Ready::Configuration(configuration) => self.reread(*configuration),
             Ready::End => self.told_to_end(),
         }
     }
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -33,6 +33,7 @@
 use crate::keeping::Keeping;
 use crate::list::{DiscoveryClient, OVERDUE};
 use crate::questions::Questions;
+use crate::reread::Rereader;
 use crate::servers::Servers;
 use crate::signals::{CaughtSignals, catch_signals};
 use crate::turn::{Handle, Ready, Turn};
@@ -189,6 +190,14 @@
         }
     });
     inserted.map_err(|e| failed("background", &e.error))?;
+    let (reread_sender, reread) = channel();
+    let inserted = event_loop.handle().insert_source(reread, |event, _, turn: &mut Turn| {
+        if let channel::Event::Msg(configuration) = event {
+            turn.ready.push_back(Ready::Configuration(configuration));
+        }
+    });
+    inserted.map_err(|e| failed("configuration", &e.error))?;
+    let rereader = Rereader::new(reread_sender, hooks.operator.clone());
     let pool = operator.state.as_ref().map(|_| {
         WorkPool::start("work", operator.background.at_once, move |finished| {
             let _ = sender.send(finished);
@@ -208,7 +217,7 @@
         background,
         keeping,
         audit: false,
-        hooks,
+        rereader,
         operator,
         known,
         this_turn: clock.at(since),
--- a/crates/dunepond/tests/kill.rs
+++ b/crates/dunepond/tests/kill.rs
@@ -157,3 +157,29 @@
     drop(client);
     assert_eq!(broker.exit_code(), Some(0));
 }
+
+/// Whoever kills the process may go by deadlines that its configuration has told meanwhile.
+#[test]
+fn shorter_deadlines_that_were_read_again_bring_the_last_answers_forward() {
+    let node = [Node::start("s-0")];
+    node[0].behave(Manner::Hang);
+    let mut shorter = None;
+    let (mut broker, _list) = Broker::before_changed(&node, |config| {
+        set_timeouts(config, 3000.0);
+        let told = shorter.insert(config.clone());
+        set_timeouts(told, 500.0);
+    });
+    let mut client = Client::to(&broker);
+    client.send(&scan("fix", "c1", &[1], "3.0"));
+    node[0].wait_for('A', 1);
+    broker.reread(&shorter.unwrap());
+    while !broker.said().contains("configuration read again") {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let told = Instant::now();
+    broker.signal("TERM");
+    assert!(client.answer().is_some());
+    drop(client);
+    assert_eq!(broker.exit_code(), Some(0));
+    assert!(told.elapsed() < Duration::from_millis(500) + KILL, "{:?}", told.elapsed());
+}
