--- a/crates/dunepond-lab/src/experiments/shutdown.rs
+++ b/crates/dunepond-lab/src/experiments/shutdown.rs
@@ -1,33 +1,27 @@
 //! Brokers told to end under clients that keep using their connections, by seed: what was lost, and by whom.
 
-use std::iter;
-use std::ops::Range;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread;
-
 use super::Way;
 use crate::report::Figures;
-use crate::shutdown::{Breach, Plan, Verdict, play};
+use crate::shutdown::{Breach, Plan, Verdict, play_all};
 use crate::store::program;
 
 /// Seeds of a full run and of a quick one, where none are asked for.
 const SEEDS: u64 = 50;
 const QUICK_SEEDS: u64 = 8;
-/// Plays at the same time: each has a few brokers and some eighty clients, which mostly wait.
-const SIDE_BY_SIDE: usize = 3;
 /// Faults of one seed that are printed one by one.
 const SHOWN: usize = 6;
 
 fn show(plan: &Plan, verdict: &Verdict) {
     println!(
-        "seed {}: timeout {:.3} s, {} brokers, {} of {} nodes hang at {:.2} s, {} sockets: {} requests, {} after \
+        "seed {}: timeout {:.3} s, {} brokers, {} of {} nodes {:?} at {:.2} s, {} sockets: {} requests, {} after \
          SIGTERM, {} late; {} faults; {:.0} ms left at the least",
         plan.seed,
         plan.timeout.as_secs_f64(),
         plan.brokers.len(),
-        plan.hung,
+        plan.bad,
         plan.nodes,
-        plan.hang_at,
+        plan.manner,
+        plan.bad_at,
         plan.sockets,
         verdict.requests,
         verdict.after_signal,
@@ -51,22 +45,6 @@
     }
 }
 
-/// Plays some seeds side by side; most of a play is waiting.
-fn play_all(seeds: Range<u64>) -> Vec<(Plan, Verdict)> {
-    let next = AtomicU64::new(seeds.start);
-    let worker = || {
-        let seeds =
-            iter::from_fn(|| Some(next.fetch_add(1, Ordering::Relaxed)).filter(|s| seeds.contains(s)));
-        seeds.map(|seed| (Plan::draw(seed), play(&program(), &Plan::draw(seed)))).collect::<Vec<_>>()
-    };
-    let mut played: Vec<_> = thread::scope(|scope| {
-        let workers: Vec<_> = (0..SIDE_BY_SIDE).map(|_| scope.spawn(worker)).collect();
-        workers.into_iter().flat_map(|worker| worker.join().expect("a play came through")).collect()
-    });
-    played.sort_by_key(|(plan, _)| plan.seed);
-    played
-}
-
 pub fn run(way: &Way) -> anyhow::Result<Figures> {
     let seeds = match (way.plays, way.quick) {
         (1, true) => QUICK_SEEDS,
@@ -74,7 +52,7 @@
         (plays, _) => plays,
     };
     let (mut all, mut bad_seeds) = (Verdict::default(), 0);
-    for (plan, verdict) in play_all(way.seed..way.seed + seeds) {
+    for (plan, verdict) in play_all(&program(), way.seed..way.seed + seeds) {
         bad_seeds += usize::from(!verdict.faults.is_empty() || verdict.failed > 0);
         show(&plan, &verdict);
         all.add(verdict);
@@ -96,6 +74,7 @@
         ("unanswered at the kill", Breach::TakenUnanswered),
         ("answered over 0.5 s late", Breach::AnsweredLate),
         ("attempts after the end", Breach::AttemptAfterEnd),
+        ("attempts after the client had left", Breach::AttemptAfterLeave),
         ("ran twice", Breach::RanTwice),
     ];
     for (name, breach) in breaches {
--- a/crates/dunepond-lab/src/shutdown/client.rs
+++ b/crates/dunepond-lab/src/shutdown/client.rs
@@ -33,17 +33,23 @@
     Halves(Duration),
     /// Does not wait for answers before it asks on.
     Pipelines,
+    /// Closes its connection so long after each request, answered or not.
+    Leaves(Duration),
+    /// Rests so long between an answer and its next request.
+    Rests(Duration),
 }
 
 impl Habit {
     pub fn draw(rng: &mut Pcg64Mcg) -> Self {
         let pause = Duration::from_millis(rng.random_range(5..600));
-        match rng.random_range(0..10) {
+        match rng.random_range(0..11) {
             0..4 => Self::Orderly,
             4..6 => Self::Stubborn,
             6 => Self::AsksFirst(pause * 4),
-            7 | 8 => Self::Halves(pause),
-            _ => Self::Pipelines,
+            7 => Self::Halves(pause),
+            8 => Self::Pipelines,
+            9 => Self::Leaves(pause / 4),
+            _ => Self::Rests(pause),
         }
     }
 }
@@ -66,6 +72,8 @@
     pub began: Instant,
     pub written: Instant,
     pub answered: Option<(Instant, u16)>,
+    /// Its client closed the connection without having an answer.
+    pub left: Option<Instant>,
     /// Its connection ended before an answer came.
     pub ended: Option<(Instant, ConnectionEnd)>,
 }
@@ -165,6 +173,7 @@
                 return self.requests;
             }
             self.listen();
+            self.leave();
             if self.connection.is_none() && !self.connect() {
                 std::thread::sleep(LOOK);
                 continue;
@@ -192,6 +201,18 @@
         }
     }
 
+    /// Closes a connection whose answer it does not want any more.
+    fn leave(&mut self) {
+        let Habit::Leaves(after) = self.habit else { return };
+        let Some(asked) = self.requests.last().map(|request| request.written) else { return };
+        if asked.elapsed() < after {
+            return;
+        }
+        for place in self.connection.take().into_iter().flat_map(|connection| connection.waiting) {
+            self.requests[place].left = Some(Instant::now());
+        }
+    }
+
     fn connect(&mut self) -> bool {
         let too_late = |told: &Instant| told.elapsed() > self.site.new_connections_until;
         if self.site.told.get().is_some_and(too_late) {
@@ -243,9 +264,14 @@
                 began,
                 written,
                 answered: None,
+                left: None,
                 ended: None,
             });
         }
-        self.asks_next = Instant::now() + Duration::from_millis(self.rng.random_range(0..40));
+        let pause = match self.habit {
+            Habit::Rests(pause) => pause,
+            _ => Duration::from_millis(self.rng.random_range(0..40)),
+        };
+        self.asks_next = Instant::now() + pause;
     }
 }
--- a/crates/dunepond-lab/src/shutdown/mod.rs
+++ b/crates/dunepond-lab/src/shutdown/mod.rs
@@ -7,22 +7,24 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpStream;
+use std::ops::Range;
 use std::path::Path;
 use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::thread;
 use std::time::{Duration, Instant};
+use std::{iter, thread};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
-use crate::store::{self, Broker, List, Manner, Node};
+use crate::store::{self, Broker, List, Node};
 use client::{Client, Site};
 pub use client::{Habit, Request};
 pub use plan::{BrokerPlan, Hold, Plan};
-use verdict::BrokerTimes;
 pub use verdict::{Attempts, Breach, Fault, Verdict};
+use verdict::{BrokerTimes, Circumstances};
 
 /// Clients work for so long before the first signal.
 const BEFORE: Duration = Duration::from_millis(700);
@@ -79,7 +81,7 @@
         sleep_until(told + after);
         signal(broker, what);
     }
-    BrokerTimes { told, killed: told + site.kill_after, longest_hold: plan.longest_hold() }
+    BrokerTimes { told, killed: Instant::now(), longest_hold: plan.longest_hold() }
 }
 
 /// All attempts that came to the nodes.
@@ -97,9 +99,29 @@
     broker
 }
 
+/// Plays at the same time: each has a few brokers and some eighty clients, which mostly wait.
+const SIDE_BY_SIDE: usize = 3;
+
+/// Plays these seeds, some side by side.
+pub fn play_all(program: &Path, seeds: Range<u64>) -> Vec<(Plan, Verdict)> {
+    let next = AtomicU64::new(seeds.start);
+    let worker = || {
+        let seeds =
+            iter::from_fn(|| Some(next.fetch_add(1, Ordering::Relaxed)).filter(|s| seeds.contains(s)));
+        let plans = seeds.map(Plan::draw);
+        plans.map(|plan| (plan.clone(), play(program, &plan))).collect::<Vec<_>>()
+    };
+    let mut played: Vec<_> = thread::scope(|scope| {
+        let workers: Vec<_> = (0..SIDE_BY_SIDE).map(|_| scope.spawn(worker)).collect();
+        workers.into_iter().flat_map(|worker| worker.join().expect("a play came through")).collect()
+    });
+    played.sort_by_key(|(plan, _)| plan.seed);
+    played
+}
+
 /// Plays one plan against this program.
 pub fn play(program: &Path, plan: &Plan) -> Verdict {
-    let nodes: Arc<Vec<_>> = Arc::new((0..plan.nodes).map(|i| Node::start(&format!("s-{i}"))).collect());
+    let nodes: Vec<_> = (0..plan.nodes).map(|i| Node::start(&format!("s-{i}"))).collect();
     let lines: Vec<_> = nodes.iter().map(|node| node.line("ready")).collect();
     let list = List::start(lines.clone());
     let config = config(plan, &list, lines);
@@ -128,14 +150,16 @@
         }
     }
     let begin = Instant::now() + BEFORE;
-    let (hung, hang_at) = (plan.hung, begin.checked_add(Duration::from_secs_f64(plan.hang_at.max(0.0))));
-    let hang_at = hang_at.unwrap_or(begin) - Duration::from_secs_f64((-plan.hang_at).max(0.0));
-    let told_nodes = nodes.clone();
-    let hanging = thread::spawn(move || {
-        sleep_until(hang_at);
-        told_nodes.iter().take(hung).for_each(|node| node.behave(Manner::Hang));
-    });
+    let turns_bad = |plan: &Plan| {
+        sleep_until(begin - Duration::from_secs_f64((-plan.bad_at).max(0.0)));
+        thread::sleep(Duration::from_secs_f64(plan.bad_at.max(0.0)));
+        nodes.iter().take(plan.bad).for_each(|node| node.behave(plan.manner));
+        if plan.list_falls_silent {
+            list.fall_silent();
+        }
+    };
     let times: Vec<_> = thread::scope(|scope| {
+        scope.spawn(|| turns_bad(plan));
         let ends = brokers.iter().zip(&plan.brokers).zip(&sites).enumerate();
         let ends: Vec<_> = ends
             .map(|(place, ((broker, told), site))| {
@@ -147,7 +171,6 @@
             .collect();
         ends.into_iter().map(|end| end.join().expect("it was taken to its end")).collect()
     });
-    hanging.join().expect("nodes were told");
     let records = clients.into_iter().flat_map(|client| client.join().expect("a client came through"));
     let mut verdict = Verdict::default();
     let records = records.collect();
@@ -158,6 +181,8 @@
             Some(_) => verdict.failed += 1,
         }
     }
-    verdict.judge(records, &attempts(&nodes), &times, plan.timeout);
+    let circumstances =
+        Circumstances { brokers: times, timeout: plan.timeout, nodes_refuse: plan.nodes_refuse() };
+    verdict.judge(records, &attempts(&nodes), &circumstances);
     verdict
 }
--- a/crates/dunepond-lab/src/shutdown/plan.rs
+++ b/crates/dunepond-lab/src/shutdown/plan.rs
@@ -7,6 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::client::Habit;
+use crate::store::Manner;
 
 /// The protocol page counts deadlines beyond this towards the kill no further.
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
@@ -50,9 +51,12 @@
     /// The query timeout of both table types.
     pub timeout: Duration,
     pub nodes: usize,
-    /// The first so many nodes stop answering, this long before (negative) or after the first SIGTERM of all.
-    pub hung: usize,
-    pub hang_at: f64,
+    /// The first so many nodes behave so, from this long before (negative) or after the first SIGTERM of all.
+    pub bad: usize,
+    pub manner: Manner,
+    pub bad_at: f64,
+    /// Discovery falls silent at the same time.
+    pub list_falls_silent: bool,
     /// Share of the requests that must not run twice.
     pub non_replayable: f64,
     pub sockets: u64,
@@ -68,13 +72,22 @@
         let timeout = Duration::from_millis(rng.random_range(300..2_000));
         let brokers = rng.random_range(2..=4);
         let nodes = rng.random_range(4..=8);
-        let hung = [nodes / 4, nodes / 2, nodes][rng.random_range(0..3)];
+        let bad = [nodes / 4, nodes / 2, nodes][rng.random_range(0..3)];
+        let manner = match rng.random_range(0..10) {
+            0..6 => Manner::Hang,
+            6 => Manner::After(timeout.as_millis() as u64 * 4 / 5),
+            7 => Manner::Say("fault"),
+            8 => Manner::Say("overload"),
+            _ => Manner::DieMidFrame,
+        };
         Self {
             seed,
             timeout,
             nodes,
-            hung,
-            hang_at: rng.random_range(-0.3..0.9),
+            bad,
+            manner,
+            bad_at: rng.random_range(-0.3..0.9),
+            list_falls_silent: rng.random_bool(0.2),
             non_replayable: rng.random_range(0.2..0.9),
             sockets: if crowd { FEW_SOCKETS } else { MANY_SOCKETS },
             apart: Duration::from_millis(rng.random_range(0..600)),
@@ -82,6 +95,11 @@
         }
     }
 
+    /// Nodes turn parts away, so that one which must not run twice may be sent again.
+    pub fn nodes_refuse(&self) -> bool {
+        self.manner == Manner::Say("overload")
+    }
+
     /// How long after the first SIGTERM the kill comes, at the page's earliest.
     pub fn kill_after(&self) -> Duration {
         self.timeout.min(LONGEST_COUNTED) + KILL_AFTER_DEADLINE
--- a/crates/dunepond-lab/src/shutdown/verdict.rs
+++ b/crates/dunepond-lab/src/shutdown/verdict.rs
@@ -7,6 +7,8 @@
 
 /// By the page of the standing test an answer later than this after the client's time counts as none.
 const LOST_AFTER: Duration = Duration::from_millis(500);
+/// By the page of the standing test an attempt may begin so long after the client's close.
+const AFTER_LEAVE: Duration = Duration::from_millis(100);
 /// Between reading its clock and writing a broker may be held up for so long.
 const MAY_BE_HELD: Duration = Duration::from_millis(150);
 /// "Every time limit is longer by 50 ms"; and so much more for what the stand-ins take on a busy machine.
@@ -24,6 +26,8 @@
     AnsweredLate,
     /// An attempt began after the final answer or after the client's time.
     AttemptAfterEnd,
+    /// An attempt began too long after the client had closed its connection.
+    AttemptAfterLeave,
     /// A part that must not run twice was sent twice.
     RanTwice,
 }
@@ -59,6 +63,14 @@
 /// When each attempt came to a node, by the part's id.
 pub type Attempts = BTreeMap<String, Vec<Instant>>;
 
+/// What the requests of a play are judged by.
+pub struct Circumstances {
+    pub brokers: Vec<BrokerTimes>,
+    pub timeout: Duration,
+    /// Nodes turned parts away, which may then be sent again.
+    pub nodes_refuse: bool,
+}
+
 pub struct BrokerTimes {
     pub told: Instant,
     pub killed: Instant,
@@ -67,20 +79,14 @@
 }
 
 impl Verdict {
-    pub fn judge(
-        &mut self,
-        requests: Vec<Request>,
-        attempts: &Attempts,
-        brokers: &[BrokerTimes],
-        timeout: Duration,
-    ) {
+    pub fn judge(&mut self, requests: Vec<Request>, attempts: &Attempts, circumstances: &Circumstances) {
         for request in requests {
-            let times = &brokers[request.broker];
+            let times = &circumstances.brokers[request.broker];
             self.count(&request, times);
             let mine = |(id, _): &(&String, &Vec<Instant>)| id.starts_with(&format!("{}.", request.id));
             let parts: Vec<_> = attempts.iter().filter(mine).map(|(_, at)| at).collect();
             let first = parts.iter().flat_map(|at| at.iter()).min().copied();
-            for breach in breaches(&request, &parts, times, timeout) {
+            for breach in breaches(&request, &parts, circumstances) {
                 let after = |at: Instant| seconds_after(at, times.told);
                 self.faults.push(Fault {
                     breach,
@@ -127,34 +133,37 @@
     }
 }
 
-fn breaches(
-    request: &Request,
-    parts: &[&Vec<Instant>],
-    times: &BrokerTimes,
-    timeout: Duration,
-) -> BTreeSet<Breach> {
+fn breaches(request: &Request, parts: &[&Vec<Instant>], circumstances: &Circumstances) -> BTreeSet<Breach> {
+    let times = &circumstances.brokers[request.broker];
     let mut found = BTreeSet::new();
-    let due = request.began + timeout;
-    match request.answered {
-        Some((at, _)) if at > due + LOST_AFTER + times.longest_hold => {
+    let due = request.began + circumstances.timeout;
+    match (request.answered, request.left) {
+        (Some((at, _)), _) if at > due + LOST_AFTER + times.longest_hold => {
             found.insert(Breach::AnsweredLate);
         }
-        Some(_) => {}
-        None if !parts.is_empty() => {
+        (Some(_), _) | (None, Some(_)) => {}
+        (None, None) if !parts.is_empty() => {
             found.insert(Breach::ForwardedUnanswered);
         }
         // A connection that the kill itself ended was open until then.
-        None if request.ended.is_none_or(|(at, _)| at >= times.killed) && request.written < times.killed => {
+        (None, None)
+            if request.ended.is_none_or(|(at, _)| at >= times.killed) && request.written < times.killed =>
+        {
             found.insert(Breach::TakenUnanswered);
         }
-        None => {}
+        (None, None) => {}
     }
-    let answered = request.answered.map_or(due, |(at, _)| at.min(due));
-    let last = answered + SLACK + STAND_INS + times.longest_hold.min(MAY_BE_HELD);
-    if parts.iter().any(|at| at.iter().any(|at| *at > last)) {
+    let slack = STAND_INS + times.longest_hold.min(MAY_BE_HELD);
+    let began_after = |last: Instant| parts.iter().any(|at| at.iter().any(|at| *at > last));
+    let ended = request.answered.map_or(due, |(at, _)| at.min(due));
+    if began_after(ended + SLACK + slack) {
         found.insert(Breach::AttemptAfterEnd);
     }
-    if !request.replayable && parts.iter().any(|at| at.len() > 1) {
+    if request.left.is_some_and(|left| began_after(left + AFTER_LEAVE + slack)) {
+        found.insert(Breach::AttemptAfterLeave);
+    }
+    let may_be_resent = request.replayable || circumstances.nodes_refuse;
+    if !may_be_resent && parts.iter().any(|at| at.len() > 1) {
         found.insert(Breach::RanTwice);
     }
     found
--- a/crates/dunepond-lab/src/store.rs
+++ b/crates/dunepond-lab/src/store.rs
@@ -15,7 +15,7 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// What a node does with the parts that it is sent.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
     Serve,
     Hang,
