--- /dev/null
+++ b/crates/dunepond-lab/tests/known_red.rs
@@ -0,0 +1,43 @@
+//! The list of known failures that CI passes over is held to its form.
+
+use std::path::Path;
+use std::process::Command;
+
+use dunepond_lab::store::scratch;
+use rstest::rstest;
+
+/// What `.ci/known-red` says of a list: whether it did what was asked, and its words.
+fn known_red(command: &str, list: &str) -> (bool, String) {
+    let file = scratch("txt");
+    std::fs::write(&file, list).unwrap();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut script = Command::new("bash");
+    script.arg(".ci/known-red").arg(command).current_dir(root).env("KNOWN_RED", &file);
+    let output = script.output().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    let said = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8_lossy(&said).into_owned())
+}
+
+#[rstest]
+#[case::four_lines(
+    "a/b/c | why | 1\na/b/d | why | 1\na/b/e | why | 1\na/b/f | why | 1\n",
+    "more than 3 lines"
+)]
+#[case::no_cause("a/b/c |  | 1\n", "field 2 is empty")]
+#[case::no_issue("a/b/c | why |\n", "field 3 is empty")]
+#[case::two_fields("a/b/c | why\n", "PACKAGE/TARGET/TEST | CAUSE | ISSUE")]
+#[case::no_test("c | why | 1\n", "not PACKAGE/TARGET/TEST")]
+fn a_list_that_does_not_hold_to_its_form_is_refused(#[case] list: &str, #[case] why: &str) {
+    let (taken, said) = known_red("check", list);
+    assert!(!taken && said.contains(why), "{said}");
+}
+
+#[test]
+fn just_the_tests_on_the_list_are_passed_over() {
+    let (taken, said) = known_red("skips", "a/b/one_test | why | 1\n\na/b/another | why | 2\n");
+    assert!(taken);
+    assert_eq!(said, "--skip\none_test\n--skip\nanother\n");
+    assert_eq!(known_red("skips", ""), (true, String::new()));
+    assert_eq!(known_red("check", ""), (true, String::new()));
+}
--- a/crates/dunepond/src/api.rs
+++ b/crates/dunepond/src/api.rs
@@ -41,7 +41,8 @@
         Self { limits, bounds, types }
     }
 
-    /// Reads a request of which the first byte came then; what must not run twice is updated and not searched, and the other way round.
+    /// Reads a request, of which the first byte came then; what must not run twice is updated and not searched, and the
+    /// other way round.
     pub fn read(&self, head: &Head, body: &[u8], came: f64) -> Result<Request, ApiError> {
         let call = read(&head.method, &head.path, body, &self.bounds.table_types, &self.limits)?;
         let fits = |search: &Search, update: bool| {
--- a/crates/dunepond/src/clients/arrivals.rs
+++ b/crates/dunepond/src/clients/arrivals.rs
@@ -22,7 +22,7 @@
         Self { reads: VecDeque::new(), all: 0, unread_since: Some(connected) }
     }
 
-    /// So many bytes were read, which came no sooner than that.
+    /// So many bytes were read, which came then at the earliest.
     pub fn read(&mut self, count: usize, came: f64) {
         if count == 0 {
             return;
--- a/crates/dunepond/src/clients/mod.rs
+++ b/crates/dunepond/src/clients/mod.rs
@@ -210,7 +210,7 @@
         }
     }
 
-    /// How much has been read of it that no request was taken out of yet.
+    /// How many bytes have been read of it that no request was taken out of yet.
     fn unused(&self) -> usize {
         let held = self.input.iter().chain(&self.ahead);
         held.map(|buffer| buffer.held().len()).sum()
