Failing tests of attempts begun too close to the end of a window or a client's time

A repeat of a keyed part is sent on 0.1 s before its window ends (rule 2), a retry 0.1 s before its client's time ends (rule 1), a scan with 0.1 s left at all.

--- /dev/null
+++ b/crates/dunepond-decide/tests/held_up.rs
@@ -0,0 +1,48 @@
+//! Between a decision and the last byte of its frame a broker may be held up for 0.15 s. An attempt that is begun closer than
+//! that to the end of a window or of its client's time may come to its node after it, run a second time there or for nobody.
+
+mod fake;
+
+use dunepond_decide::*;
+use fake::*;
+use rstest::rstest;
+
+/// A repeat is dropped for one second after the first dispatch. That fails so late that one more could come after it.
+#[rstest]
+#[case::in_time(0.8, 2)]
+#[case::too_close_to_the_end_of_the_window(0.9, 1)]
+fn a_repeat_leaves_time_to_the_end_of_its_window(#[case] fails_after: f64, #[case] attempts: usize) {
+    let mut town = Town::new(site());
+    town.host.nodes = vec![Some((End::Error, fails_after)); 6];
+    let scan = town.scan(KEYED, &[0]);
+    town.run(1.2);
+    assert_eq!(town.sent(scan).len(), attempts);
+}
+
+#[rstest]
+#[case::in_time(1.8, 2)]
+#[case::too_close_to_the_end_of_its_clients_time(1.9, 1)]
+fn a_retry_leaves_time_to_the_end_of_its_clients_time(#[case] fails_after: f64, #[case] attempts: usize) {
+    let mut town = Town::new(Deployment { second_copies: false, ..site() });
+    town.host.nodes = vec![Some((End::Error, fails_after)); 6];
+    let scan = town.scan_of(FULL, &[0], 0, 2.0, false);
+    town.run(2.5);
+    assert_eq!(town.sent(scan).len(), attempts);
+    assert_eq!(town.finals(scan).len(), 1);
+}
+
+/// Nodes are quick enough for it, and it is turned away at once all the same.
+#[rstest]
+#[case::in_time(0.3, true)]
+#[case::too_close_to_the_end_of_its_clients_time(0.1, false)]
+fn what_comes_with_little_time_is_sent_on_only_if_that_is_surely_in_time(
+    #[case] left: f64,
+    #[case] sent: bool,
+) {
+    let mut town = Town::new(site());
+    town.host.nodes = vec![Some((End::Completed, 0.02)); 6];
+    town.traffic(FULL, 2.0, 0.02);
+    let scan = town.scan_of(FULL, &[0], 0, left, false);
+    assert_eq!(!town.sent(scan).is_empty(), sent);
+    assert_eq!(town.finals(scan).is_empty(), sent);
+}
