Nothing is begun closer than 0.15 s to the end of a window or of a client's time

Now time.rs may_begin holds first dispatches, retries and copies, and tally.rs the repeats of keyed parts, to 0.15 s; a scan that comes with less is turned away at once, and one whose missing parts can't be begun any more ends then.

--- a/crates/dunepond-decide/src/lib.rs
+++ b/crates/dunepond-decide/src/lib.rs
@@ -8,7 +8,7 @@
 mod policy;
 mod state;
 
-pub use policy::{Broker, LONGEST_SHUTDOWN, LOOK_EVERY, NOTICEABLE_PAUSE, Shutdown, ShutdownStage};
+pub use policy::{Broker, HELD_UP, LONGEST_SHUTDOWN, LOOK_EVERY, NOTICEABLE_PAUSE, Shutdown, ShutdownStage};
 use serde::{Deserialize, Serialize};
 
 /// A node, by the index the host gave its address; another may get it once [`Broker::forget`] has been told.
--- a/crates/dunepond-decide/src/policy/mod.rs
+++ b/crates/dunepond-decide/src/policy/mod.rs
@@ -29,6 +29,7 @@
 use rand::RngExt;
 
 pub use self::shutdown::{LONGEST_SHUTDOWN, LOOK_EVERY, NOTICEABLE_PAUSE, Shutdown, ShutdownStage};
+pub use self::time::HELD_UP;
 pub use crate::state::Broker;
 use crate::state::{Aside, Held, Node, Out, Piece, Sample, Shot, Tokens, keep_last};
 use crate::{
--- a/crates/dunepond-decide/src/policy/shutdown.rs
+++ b/crates/dunepond-decide/src/policy/shutdown.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use super::time::HELD_UP;
+
 /// By the protocol page "for 0.2 to 0.4 s new connections go on coming" after SIGTERM, and "every time limit is longer by
 /// 50 ms".
 const NEW_CONNECTIONS: f64 = 0.4;
@@ -14,9 +16,7 @@
 /// and a request that comes later than 0.7 s after SIGTERM is lost if the kill finds it unanswered.
 const KILL_AFTER_DEADLINE: f64 = 0.7;
 const LONGEST_COUNTED: f64 = 3.0;
-/// By the page of the standing test a broker may be "held up for up to 0.15 s between reading its clock and writing", the
-/// last answers included; a turn of the loop and the way of an answer take the slack, each.
-const HELD_UP: f64 = 0.15;
+/// It may be held up at its last answers, too; a turn of the loop and the way of an answer take the slack, each.
 const BEFORE_THE_KILL: f64 = HELD_UP + 2.0 * SLACK;
 
 /// So often the loop looks for signals at the least, whatever else it waits for: a signal that it finds came after the look
--- a/crates/dunepond-decide/src/policy/tally.rs
+++ b/crates/dunepond-decide/src/policy/tally.rs
@@ -36,13 +36,13 @@
         let ran = |s: &&Shot| !s.never_ran();
         !piece.done
             && !held.spent
+            && self.may_begin(held)
             && piece.shots.len() < self.dispatch_cap(held)
             && (piece.only.is_none() || self.holders(piece.seg, piece.only).next().is_some())
             && match self.site.table_types[held.table_type].repeat {
                 Repeat::Replayable => true,
-                // A tick's margin, as the order is carried out by a clock that is not ours.
                 Repeat::Keyed(window) => {
-                    piece.shots.iter().find(ran).is_none_or(|s| self.now - s.at < window - self.site.tick)
+                    piece.shots.iter().find(ran).is_none_or(|s| self.now - s.at < window - HELD_UP)
                 }
                 Repeat::NonReplayable => !piece.shots.iter().any(|s| ran(&s)),
             }
--- a/crates/dunepond/src/desk/mod.rs
+++ b/crates/dunepond/src/desk/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use dunepond_bodies::{BodyId, Reason};
-use dunepond_decide::{Deployment, End, NodeId, Repeat, ScanId};
+use dunepond_decide::{Deployment, End, HELD_UP, NodeId, Repeat, ScanId};
 use dunepond_phases::{Left, Unanswered};
 use dunepond_settings::Bounds;
 
@@ -144,7 +144,7 @@
             dispatch_cap: site.dispatch_cap,
             longest_wait: site.longest_wait,
             timeouts: site.table_types.iter().map(|t| t.timeout).collect(),
-            windows: site.table_types.iter().map(|t| window(t.repeat, site.tick)).collect(),
+            windows: site.table_types.iter().map(|t| window(t.repeat, HELD_UP)).collect(),
             scans: HashMap::new(),
             call_ids: HashSet::new(),
             last: 0,
