--- a/crates/dunepond-decide/src/policy/admission.rs
+++ b/crates/dunepond-decide/src/policy/admission.rs
@@ -61,7 +61,7 @@
         let late = likely > held.target_at;
         // Its client will not wait for what it asks, or not for anything of worth: sent all the same it would
         // only take the nodes from the others, once for each of the many tries of such a client.
-        if likely > held.ends_at || !self.may_begin(held) || late && kind.late <= 0.0 {
+        if likely > held.ends_at || late && kind.late <= 0.0 {
             return self.give_up(host, held);
         }
         let useful = if late { kind.target } else { held.target_at - self.now };
--- a/crates/dunepond-decide/src/policy/fork.rs
+++ b/crates/dunepond-decide/src/policy/fork.rs
@@ -37,7 +37,6 @@
             if !held.pieces[part].left
                 && held.pieces[part].shots.is_empty()
                 && !held.spent
-                && self.may_begin(held)
                 && let Some(node) = self.place(held, part, since)
             {
                 self.dispatch(host, held, part, node);
--- a/crates/dunepond-decide/src/policy/tally.rs
+++ b/crates/dunepond-decide/src/policy/tally.rs
@@ -36,7 +36,6 @@
         let ran = |s: &&Shot| !s.never_ran();
         !piece.done
             && !held.spent
-            && self.may_begin(held)
             && piece.shots.len() < self.dispatch_cap(held)
             && (piece.only.is_none() || self.holders(piece.seg, piece.only).next().is_some())
             && match self.site.table_types[held.table_type].repeat {
--- a/crates/dunepond-decide/src/policy/time.rs
+++ b/crates/dunepond-decide/src/policy/time.rs
@@ -2,16 +2,12 @@
 
 use super::*;
 
-/// By the page of the standing test a broker may be "held up for up to 0.15 s between reading its clock and writing:
-/// deadlines and windows allow for that". Nothing is begun closer than this to the end of either.
+/// By the page of the standing test a broker may be "held up for up to 0.15 s between reading its clock and writing". No
+/// repeat is begun closer than this to the end of its window, as it could run a second time after that; the end of a client's
+/// time has no such margin: many requests come with less than that and are served in time.
 pub const HELD_UP: f64 = 0.15;
 
 impl Broker {
-    /// An attempt that is begun now comes to its node before its client's time is up.
-    pub(super) fn may_begin(&self, held: &Held) -> bool {
-        self.now < held.ends_at - HELD_UP
-    }
-
     /// The last wake that surely comes before its client's time is up, or before it is worth nothing.
     pub(super) fn last_call(&self, held: &Held) -> f64 {
         let worthless = self.site.table_types[held.table_type].late <= 0.0;
--- a/crates/dunepond/src/desk/host.rs
+++ b/crates/dunepond/src/desk/host.rs
@@ -1,6 +1,6 @@
 //! The module's host: its orders go to the peers, and what comes back from them becomes its calls.
 
-use dunepond_decide::{End, HELD_UP, Host, NodeId, ScanId};
+use dunepond_decide::{End, Host, NodeId, ScanId};
 use dunepond_phases::Grounds;
 use dunepond_search::ApiError;
 use serde_json::json;
@@ -31,7 +31,7 @@
         let gone = matches!(text, Text::Gone);
         let table_type = in_hand.table_type;
         let began = in_hand.agreed.as_ref().map(Agreed::began);
-        let lapses = (until - HELD_UP).min(in_hand.ran[part] + self.windows[table_type]);
+        let lapses = until.min(in_hand.ran[part] + self.windows[table_type]);
         let parcel = Parcel { scan, part, shot, id, seg, table_type, until, lapses, text, reader, began };
         let late = in_hand.over || gone || shot >= self.dispatch_cap || lapses <= self.now;
         let late = late || in_hand.client.is_some_and(|client| self.clients.has_hung_up(self.now, client));
--- a/crates/dunepond/src/desk/take.rs
+++ b/crates/dunepond/src/desk/take.rs
@@ -89,7 +89,8 @@
         let segs: Vec<_> = asked.parts.iter().map(|p| p.seg).collect();
         let count = segs.len();
         self.held += 1 + count;
-        debug!("scan {}: taken as {scan}, {count} parts", asked.call_id);
+        let left = client_until - self.now;
+        debug!("scan {}: taken as {scan}, {count} parts, {left:.3} s left", asked.call_id);
         let body = asked.text.body().map(|body| body.id);
         let kept = !asked.text.body().is_some_and(|body| body.is_passing());
         let in_hand = InHand {
--- a/crates/dunepond/src/servers/mod.rs
+++ b/crates/dunepond/src/servers/mod.rs
@@ -40,8 +40,8 @@
     pub seg: usize,
     pub table_type: usize,
     pub until: f64,
-    /// From then on not a byte of it may go out: held up on its way, it could come after its scan's time, or after the window
-    /// in which a repeat is dropped.
+    /// From then on not a byte of it may go out: its scan's time is over, or the window in which a repeat is dropped is close
+    /// to its end.
     pub lapses: f64,
     pub text: Text,
     /// Its own way through a body, from the beginning of its dispatch on.
