Starting, turning and finishing of the broker's loop stand apart; one channel for all threads

serve was one function of 200 lines with the same channel set up three times. turn.rs channel_into serves them; set_out, run and finish are World's. No behaviour changes.

--- a/crates/dunepond/src/turn.rs
+++ b/crates/dunepond/src/turn.rs
@@ -5,6 +5,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 
+use calloop::channel::{Event, Sender, channel};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use dunepond_bodies::Done;
@@ -43,6 +44,21 @@
 
 pub type Handle = LoopHandle<'static, Turn>;
 
+/// A channel by which other threads leave word: what comes on it is one thing of a turn.
+pub fn channel_into<T: 'static>(
+    handle: &Handle,
+    ready: impl Fn(T) -> Ready + 'static,
+) -> calloop::Result<Sender<T>> {
+    let (sender, received) = channel();
+    let inserted = handle.insert_source(received, move |event, _, turn| {
+        if let Event::Msg(word) = event {
+            turn.ready.push_back(ready(word));
+        }
+    });
+    inserted.map_err(|e| e.error)?;
+    Ok(sender)
+}
+
 /// Has the loop tell of each new readiness of a stream, once, and whether it can be read.
 pub fn watch(
     handle: &Handle,
--- a/crates/dunepond/src/world/hangup.rs
+++ b/crates/dunepond/src/world/hangup.rs
@@ -9,7 +9,6 @@
     /// Hang-ups are taken before all else that a turn brings: what a node said may have come sooner, and what it would
     /// have sent again is not wanted any more.
     pub(super) fn hang_ups(&mut self, turn: &Turn) {
-        self.begin_turn();
         let now = self.desk.now;
         for ready in &turn.ready {
             if let Ready::Client(id, true) = ready {
--- a/crates/dunepond/src/world/start.rs
+++ b/crates/dunepond/src/world/start.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use calloop::EventLoop;
-use calloop::channel::{self, channel};
 use calloop::signals::Signal;
 use dunepond_bodies::{Disk, Folder, Spool};
 use dunepond_decide::{Broker, LONGEST_SHUTDOWN, LOOK_EVERY, Repeat, ShutdownStage};
@@ -36,7 +35,7 @@
 use crate::reread::Rereader;
 use crate::servers::Servers;
 use crate::signals::{CaughtSignals, catch_signals};
-use crate::turn::{Handle, Ready, Turn};
+use crate::turn::{Handle, Ready, Turn, channel_into};
 
 /// How long a new process waits for the list: for a call and for the one beside it. What the agent on its machine has
 /// counts as told from its first moment, and what it was left with may be old; but while discovery is down there is
@@ -80,13 +79,7 @@
             Arc::new(Disk::open(&told.path, &mark).map_err(|e| failed(&e))?)
         }
     };
-    let (sender, done) = channel();
-    let inserted = handle.insert_source(done, |event, _, turn: &mut Turn| {
-        if let channel::Event::Msg(done) = event {
-            turn.ready.push_back(Ready::Disk(done));
-        }
-    });
-    inserted.map_err(|e| failed(&e.error))?;
+    let sender = channel_into(handle, Ready::Disk).map_err(|e| failed(&e))?;
     // Once nobody listens the broker has ended, and its files go with it.
     let tell = move |done| drop(sender.send(done));
     let spool = Spool::start(folder.clone(), told.threads, told.waiting, tell).map_err(|e| failed(&e))?;
@@ -183,21 +176,10 @@
     }
     let broker = Broker::new(start.deployment);
     let (clock, operator) = (Clock::start(), start.operator);
-    let (sender, ended) = channel();
-    let inserted = event_loop.handle().insert_source(ended, |event, _, turn: &mut Turn| {
-        if let channel::Event::Msg(finished) = event {
-            turn.ready.push_back(Ready::Work(finished));
-        }
-    });
-    inserted.map_err(|e| failed("background", &e.error))?;
-    let (reread_sender, reread) = channel();
-    let inserted = event_loop.handle().insert_source(reread, |event, _, turn: &mut Turn| {
-        if let channel::Event::Msg(configuration) = event {
-            turn.ready.push_back(Ready::Configuration(configuration));
-        }
-    });
-    inserted.map_err(|e| failed("configuration", &e.error))?;
-    let rereader = Rereader::new(reread_sender, hooks.operator.clone());
+    let sender = channel_into(&event_loop.handle(), Ready::Work).map_err(|e| failed("background", &e))?;
+    let reread = channel_into(&event_loop.handle(), Ready::Configuration);
+    let reread = reread.map_err(|e| failed("configuration", &e))?;
+    let rereader = Rereader::new(reread, hooks.operator.clone());
     let pool = operator.state.as_ref().map(|_| {
         WorkPool::start("work", operator.background.at_once, move |finished| {
             let _ = sender.send(finished);
@@ -227,40 +209,59 @@
         stage: ShutdownStage::Serving,
         over: false,
     };
-    let now = world.tick();
-    world.report();
-    if let Some(keeping) = &world.keeping {
-        world.desk.alarms.set(now + keeping.every(), Due::Snapshot);
-    }
-    if world.known.is_some() {
-        // The list comes into force before who waited for it is taken in.
-        world.desk.alarms.set(now + FIRST_LIST, Due::FirstList);
-        world.desk.clients.hold(now, now + FIRST_LIST.min(held_at_most), &mut world.desk.alarms);
-    }
-    world.discovery.call(now, &mut world.desk.alarms);
+    world.set_out(held_at_most);
     info!("listening on {local}");
-    let mut turn = Turn::default();
-    while !(world.over && world.desk.clients.count() == 0) {
-        let next = world.desk.alarms.until_next(world.clock.now());
-        let wait = next.map_or(LOOK_EVERY, |next| next.min(LOOK_EVERY));
-        event_loop.dispatch(wait, &mut turn).map_err(|e| failed("loop", &e))?;
-        // Nothing came but a time: whatever runs now delays nobody who is already there.
-        let calm = turn.ready.is_empty();
-        world.hang_ups(&turn);
-        while let Some(ready) = turn.ready.pop_front() {
-            world.turn(ready);
-        }
-        world.ring();
-        world.turn_over(calm);
-    }
-    let now = world.tick();
-    if let (Some(keeping), Some(pool)) = (&mut world.keeping, world.background.pool()) {
-        keeping.finish(now, &mut world.broker, &world.desk, pool);
-    }
+    world.run(&mut event_loop).map_err(|e| failed("loop", &e))?;
+    world.finish();
     if let Some(folder) = &folder {
         folder.leave();
     }
-    world.desk.fleet.iter_mut().for_each(Fleet::stop);
     info!("ended");
     Ok(())
 }
+
+impl World {
+    /// What is due from the first moment on. Nobody is taken in before the first list, for so long at most.
+    fn set_out(&mut self, held_at_most: f64) {
+        let now = self.tick();
+        self.report();
+        if let Some(keeping) = &self.keeping {
+            self.desk.alarms.set(now + keeping.every(), Due::Snapshot);
+        }
+        if self.known.is_some() {
+            // The list comes into force before who waited for it is taken in.
+            self.desk.alarms.set(now + FIRST_LIST, Due::FirstList);
+            self.desk.clients.hold(now, now + FIRST_LIST.min(held_at_most), &mut self.desk.alarms);
+        }
+        self.discovery.call(now, &mut self.desk.alarms);
+    }
+
+    /// Turn by turn, until the listeners are closed and no client is left.
+    fn run(&mut self, event_loop: &mut EventLoop<'static, Turn>) -> calloop::Result<()> {
+        let mut turn = Turn::default();
+        while !(self.over && self.desk.clients.count() == 0) {
+            let next = self.desk.alarms.until_next(self.clock.now());
+            let wait = next.map_or(LOOK_EVERY, |next| next.min(LOOK_EVERY));
+            event_loop.dispatch(wait, &mut turn)?;
+            // Nothing came but a time: whatever runs now delays nobody who is already there.
+            let calm = turn.ready.is_empty();
+            self.begin_turn();
+            self.hang_ups(&turn);
+            while let Some(ready) = turn.ready.pop_front() {
+                self.turn(ready);
+            }
+            self.ring();
+            self.turn_over(calm);
+        }
+        Ok(())
+    }
+
+    /// Keeps what outlasts the process, and ends its threads.
+    fn finish(&mut self) {
+        let now = self.tick();
+        if let (Some(keeping), Some(pool)) = (&mut self.keeping, self.background.pool()) {
+            keeping.finish(now, &mut self.broker, &self.desk, pool);
+        }
+        self.desk.fleet.iter_mut().for_each(Fleet::stop);
+    }
+}
