A body that was coming in at SIGTERM keeps its client's time for admission

Cause, by the module's reckoning printed at admission: the scan of a body whose head came before SIGTERM was cut to the last answers (2.76 s left) before admission, where a broker that has seen no dispatch yet reckons 6 s and turned it away (429).

--- a/crates/dunepond-decide/src/policy/mod.rs
+++ b/crates/dunepond-decide/src/policy/mod.rs
@@ -120,7 +120,8 @@
         let spent = if cut { kind.timeout - scan.expires_in } else { 0.0 };
         let target_at = self.now + (kind.target - spent).max(0.0);
         let mut held = Held::new(&scan, self.now, target_at, self.rules.clone());
-        if let Some(shutdown) = self.shutdown {
+        // What comes with a body has been in hand since its head came, and is cut short by the host.
+        if let Some(shutdown) = self.shutdown.filter(|_| !scan.long) {
             held.outlasts = shutdown.refuses(self.now, held.ends_at);
             held.ends_at = held.ends_at.min(shutdown.last_answers_at());
         }
--- a/crates/dunepond-decide/src/policy/shutdown.rs
+++ b/crates/dunepond-decide/src/policy/shutdown.rs
@@ -88,8 +88,8 @@
     }
 
     /// A request that comes now and would wait for longer than the process is there is refused: sent on, it could still be out
-    /// when the process is killed, and its client has time to ask elsewhere.
+    /// when the process is killed, and its client has time to ask elsewhere. What is cut short by no more than the slack is not.
     pub fn refuses(&self, now: f64, client_waits_until: f64) -> bool {
-        self.is_refusing(now) && client_waits_until > self.last_answers_at()
+        self.is_refusing(now) && client_waits_until > self.last_answers_at() + SLACK
     }
 }
--- a/crates/dunepond-decide/tests/shutdown.rs
+++ b/crates/dunepond-decide/tests/shutdown.rs
@@ -51,6 +51,20 @@
     assert_eq!(town.sent(scan).is_empty(), answer.is_some());
 }
 
+/// A body that was coming in as the broker was told to end has until the last answers. How long that is from now on and when
+/// it ends are rounded, one against the other.
+#[test]
+fn what_has_until_the_last_answers_is_taken_however_that_is_rounded() {
+    for step in 0..200 {
+        let mut town = Town::new(site());
+        town.host.now = 1_764_700_000.0 + 0.001_7 * f64::from(step);
+        let shutdown = Shutdown::new(town.host.now - 0.8, 6.0);
+        town.broker.told_to_end(shutdown);
+        let scan = town.scan_of(FIX, &[0], 0, shutdown.last_answers_at() - town.host.now, false);
+        assert_eq!(town.finals(scan), Vec::new(), "{step}");
+    }
+}
+
 /// It came before the signal, and its client has more time than the process.
 #[test]
 fn what_is_in_hand_ends_by_the_last_answers() {
