Shutdown soak: a violation prints the broker's log and what its threads did

A run now keeps, for each broker with a violation, its log, when each signal was sent, and for each of its threads the state, the time it ran and the time it waited for a processor, just before each signal. The test and `testkit run shutdown` print it.

Tests: a broker that stays stopped until its kill is recorded as stopped, and as not having run since; a run without a violation has no record.

--- a/crates/dunepond-testkit/src/experiments/shutdown.rs
+++ b/crates/dunepond-testkit/src/experiments/shutdown.rs
@@ -46,6 +46,7 @@
             plan.brokers[request.broker_index].pauses,
         );
     }
+    report.process_records.iter().for_each(|record| println!("{record}"));
 }
 
 /// Runs the experiment.
--- a/crates/dunepond-testkit/src/shutdown/mod.rs
+++ b/crates/dunepond-testkit/src/shutdown/mod.rs
@@ -5,7 +5,10 @@
 
 mod client;
 mod plan;
+mod process_record;
 mod report;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
@@ -26,6 +29,7 @@
 use client::{BrokerEndpoint, Client};
 pub use client::{ClientBehavior, Request};
 pub use plan::{BrokerPlan, Pause, ShutdownPlan};
+pub use process_record::{ProcessRecord, SentSignal, ThreadState};
 pub use report::{AttemptTimes, ShutdownReport, ViolatedRequest, Violation};
 use report::{BrokerTimeline, RunConditions, StopInterval};
 
@@ -71,14 +75,19 @@
     schedule
 }
 
-/// Sends a broker all planned signals from the SIGHUP before the first SIGTERM to the kill, and returns when they were sent.
-fn shut_down(broker: &Broker, plan: &BrokerPlan, endpoint: &BrokerEndpoint) -> BrokerTimeline {
+/// Sends a broker all planned signals from the SIGHUP before the first SIGTERM to the kill. Returns when those after the first
+/// SIGTERM were sent, and the timeline that the requests are checked against.
+fn shut_down(
+    broker: &Broker,
+    plan: &BrokerPlan,
+    endpoint: &BrokerEndpoint,
+) -> (Vec<SentSignal>, BrokerTimeline) {
     if let Some(before) = plan.reload_before {
         send_signal(broker, Signal::SIGHUP);
         thread::sleep(before);
     }
     let mut stopped_at = None;
-    let mut stops = Vec::new();
+    let (mut sent_signals, mut stops) = (Vec::new(), Vec::new());
     if plan.pauses.first().is_some_and(|pause| pause.from.is_zero()) {
         send_signal(broker, Signal::SIGSTOP);
         stopped_at = Some(Instant::now());
@@ -95,9 +104,12 @@
             }
             _ => {}
         }
+        let threads = ThreadState::read_all(broker.pid());
+        sent_signals.push(SentSignal { after: signalled_at.elapsed(), signal, threads });
         send_signal(broker, signal);
     }
-    BrokerTimeline { signalled_at, killed_at: Instant::now(), longest_pause: plan.longest_pause(), stops }
+    let longest_pause = plan.longest_pause();
+    (sent_signals, BrokerTimeline { signalled_at, killed_at: Instant::now(), longest_pause, stops })
 }
 
 /// Returns the times at which attempts arrived at the nodes, by the part's id.
@@ -155,7 +167,7 @@
     let _idle_connections = open_idle_connections(plan, &endpoints);
     let clients = start_clients(plan, &endpoints);
     let first_signal_at = Instant::now() + WARM_UP_TIME;
-    let timelines: Vec<_> = thread::scope(|scope| {
+    let (signals, timelines): (Vec<_>, Vec<_>) = thread::scope(|scope| {
         scope.spawn(|| start_misbehavior(plan, &nodes, &discovery, first_signal_at));
         let mut shutdowns = Vec::new();
         for (index, broker) in brokers.iter().enumerate() {
@@ -168,7 +180,7 @@
         shutdowns
             .into_iter()
             .map(|shutdown| shutdown.join().expect("the shutdown of a broker panicked"))
-            .collect()
+            .unzip()
     });
     let requests = clients.into_iter().flat_map(|client| client.join().expect("a client panicked"));
     let requests = requests.collect();
@@ -183,6 +195,11 @@
     let conditions =
         RunConditions { brokers: timelines, timeout: plan.timeout, nodes_reject: plan.nodes_reject() };
     report.add_requests(requests, &attempts_at(&nodes), &conditions);
+    for (broker_index, (broker, signals)) in brokers.iter().zip(signals).enumerate() {
+        if report.violations.iter().any(|violated| violated.request.broker_index == broker_index) {
+            report.process_records.push(ProcessRecord { broker_index, signals, log: broker.log_text() });
+        }
+    }
     report
 }
 
--- a/crates/dunepond-testkit/src/shutdown/report.rs
+++ b/crates/dunepond-testkit/src/shutdown/report.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::client::Request;
+use super::process_record::ProcessRecord;
 
 #[cfg(test)]
 mod tests;
@@ -75,6 +76,8 @@
     pub unforwarded_at_close: usize,
     /// Violations of the rules, each with its request.
     pub violations: Vec<ViolatedRequest>,
+    /// Records of the brokers with violations.
+    pub process_records: Vec<ProcessRecord>,
     /// Number of brokers that were still running at the kill.
     pub killed_broker_count: usize,
     /// Number of brokers that exited with a code other than 0.
@@ -186,6 +189,7 @@
         self.killed_broker_count += other.killed_broker_count;
         self.failed_broker_count += other.failed_broker_count;
         self.violations.extend(other.violations);
+        self.process_records.extend(other.process_records);
         self.min_time_to_kill = self.min_time_to_kill.into_iter().chain(other.min_time_to_kill).min();
         for (status, count) in other.answers_by_status {
             *self.answers_by_status.entry(status).or_default() += count;
--- a/crates/dunepond-testkit/tests/shutdown.rs
+++ b/crates/dunepond-testkit/tests/shutdown.rs
@@ -15,6 +15,7 @@
     let mut violations_by_seed: Vec<(u64, Vec<ViolatedRequest>)> = Vec::new();
     for (plan, report) in run_seeds(&broker_program(), SEEDS) {
         if !report.violations.is_empty() {
+            report.process_records.iter().for_each(|record| println!("seed {}, {record}", plan.seed));
             violations_by_seed.push((plan.seed, report.violations.clone()));
         }
         total.merge(report);
