HTTP: interim responses (1xx) are skipped, and 101 closes the connection

Cause: the reader of responses took each head as the response to the request. The connection stayed in use, so the response that followed was taken for the one to the next request, if that came first. Discovery dropped its call.

`ResponseReader` reads the responses on a connection for nodes and for discovery; it skips interim responses, up to as many bytes as a head may have, and fails for 101, which the broker never asks for. An interim response without a request closes the connection, as before.

--- a/crates/dunepond-broker/src/discovery/call.rs
+++ b/crates/dunepond-broker/src/discovery/call.rs
@@ -8,14 +8,14 @@
 
 use super::list::{Directory, EndpointUpdate, ParsedList};
 use crate::buffers::{Buffer, Pool, WriteQueue};
-use crate::http::{self, HttpError, Message};
+use crate::http::{HttpError, ResponseReader};
 
 /// A call to the discovery agent, on a connection of its own. The connection is kept for further requests.
 pub(super) struct DiscoveryCall {
     pub(super) stream: Rc<TcpStream>,
     pub(super) token: RegistrationToken,
     pub(super) input: Option<Buffer>,
-    pub(super) message: Option<Message>,
+    pub(super) responses: ResponseReader,
     pub(super) write_queue: WriteQueue,
     /// Whether a request has been sent and its response is not complete.
     pub(super) awaiting_response: bool,
@@ -90,20 +90,14 @@
         if !self.awaiting_response && !input.is_empty() {
             return Err(ResponseError::Unrequested);
         }
-        if self.message.is_none() {
-            self.message = http::parse_response(input)?.map(Message::new);
-        }
-        let Some(message) = &mut self.message else { return Ok(None) };
+        let Some(message) = self.responses.read_head(input)? else { return Ok(None) };
         // The body of an error response is not read.
         if message.head.status != 200 {
             return Err(ResponseError::Status(message.head.status));
         }
-        if !message.read_body(input, pool)? {
-            return Ok(None);
-        }
+        let Some(message) = self.responses.read(input, pool)? else { return Ok(None) };
         let keep_alive = message.head.keep_alive;
         let list = dunepond_config::parse_json(message.body_bytes()).map_err(ResponseError::Json)?;
-        self.message = None;
         let parsed = state.directory.parse_list(&list)?;
         state.accept(parsed).map(|update| Some(Response { update, keep_alive }))
     }
--- a/crates/dunepond-broker/src/discovery/mod.rs
+++ b/crates/dunepond-broker/src/discovery/mod.rs
@@ -18,7 +18,7 @@
 use crate::buffers::{Pool, WriteQueue};
 use crate::clock::{TimerEvent, TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
-use crate::http::{self, Message};
+use crate::http::{self, ResponseReader};
 use crate::iteration::{EventLoopHandle, LoopEvent, watch};
 use crate::read_turn::{ReadTurn, Received, UnfinishedConnection, UnfinishedTurns};
 use crate::upstream;
@@ -128,7 +128,7 @@
             stream,
             token,
             input: None,
-            message: None,
+            responses: ResponseReader::default(),
             write_queue: WriteQueue::new(&self.pool),
             awaiting_response: true,
             is_watch: false,
@@ -282,7 +282,7 @@
             let input = call.input.get_or_insert_with(|| self.pool.acquire());
             let reason = match turn.read(input, &*call.stream) {
                 // A response without a length is complete when the agent closes the connection.
-                Ok(Received::End) if call.message.as_mut().is_some_and(Message::finish_at_close) => continue,
+                Ok(Received::End) if call.responses.finish_at_close() => continue,
                 Ok(Received::End) => ConnectionEnd::Closed,
                 Ok(Received::Bytes) => continue,
                 Ok(Received::TurnOver) => {
--- a/crates/dunepond-broker/src/discovery/tests/mod.rs
+++ b/crates/dunepond-broker/src/discovery/tests/mod.rs
@@ -10,6 +10,31 @@
 /// Length of the white space behind the list; all of it fits into one buffer.
 const LIST_PADDING_BYTES: usize = 60_000;
 
+/// A call to a discovery agent, which the test plays.
+struct Fixture {
+    discovery: DiscoveryClient,
+    agent: TcpStream,
+    pool: Pool,
+    timers: Timers,
+    unfinished_turns: UnfinishedTurns,
+    _poller: EventLoop<'static, Iteration>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let poller: EventLoop<'static, Iteration> = EventLoop::try_new().unwrap();
+        let (pool, unfinished_turns, mut timers) =
+            (Pool::default(), UnfinishedTurns::default(), Timers::default());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut discovery =
+            DiscoveryClient::new(poller.handle(), &pool, address, &host_settings(), &unfinished_turns);
+        discovery.start_call(NOW, &mut timers);
+        let (agent, _) = listener.accept().unwrap();
+        Self { discovery, agent, pool, timers, unfinished_turns, _poller: poller }
+    }
+}
+
 /// Sends a complete list in chunks of one byte, so that it is longer than what is read in a turn.
 fn send_long_list(mut agent: &TcpStream) {
     agent.set_write_timeout(Some(MAX_WAIT)).unwrap();
@@ -22,24 +47,29 @@
 /// Guards against an agent that sends faster than it is read: its turn would not end, and nobody else would be served.
 #[test]
 fn turn_of_a_call_ends_before_all_is_read() {
-    let poller: EventLoop<'static, Iteration> = EventLoop::try_new().unwrap();
-    let (pool, unfinished_turns, mut timers) =
-        (Pool::default(), UnfinishedTurns::default(), Timers::default());
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let mut discovery =
-        DiscoveryClient::new(poller.handle(), &pool, address, &host_settings(), &unfinished_turns);
-    discovery.start_call(NOW, &mut timers);
-    let (agent, _) = listener.accept().unwrap();
-    send_long_list(&agent);
+    let mut fixture = Fixture::new();
+    send_long_list(&fixture.agent);
     let mut updates = Vec::new();
     let mut turns = 0;
     while updates.is_empty() {
         turns += 1;
-        let before = pool.read_bytes();
-        updates = discovery.on_ready(NOW, true, &mut timers);
-        assert!(pool.read_bytes() - before <= MAX_TURN_BYTES);
-        assert!(!updates.is_empty() || unfinished_turns.take_events().count() == 1, "after {turns} turns");
+        let before = fixture.pool.read_bytes();
+        updates = fixture.discovery.on_ready(NOW, true, &mut fixture.timers);
+        assert!(fixture.pool.read_bytes() - before <= MAX_TURN_BYTES);
+        let is_queued = fixture.unfinished_turns.take_events().count() == 1;
+        assert!(!updates.is_empty() || is_queued, "after {turns} turns");
     }
     assert!(turns > 1);
 }
+
+#[test]
+fn interim_response_does_not_end_the_call() {
+    let mut fixture = Fixture::new();
+    let body = "{\"seq\":1,\"whole\":true,\"hosts\":[]}";
+    let length = body.len();
+    let responses = format!(
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    fixture.agent.write_all(responses.as_bytes()).unwrap();
+    assert_eq!(fixture.discovery.on_ready(NOW, true, &mut fixture.timers).len(), 1);
+}
--- a/crates/dunepond-broker/src/http.rs
+++ b/crates/dunepond-broker/src/http.rs
@@ -4,10 +4,12 @@
 mod encode;
 mod head;
 mod message;
+mod response;
 
 pub use encode::{encode_get, encode_response};
-pub use head::{Head, parse_request, parse_response};
+pub use head::{Head, parse_request};
 pub use message::Message;
+pub use response::ResponseReader;
 
 /// Why a message is rejected.
 #[derive(Debug, PartialEq)]
--- a/crates/dunepond-broker/src/http/head.rs
+++ b/crates/dunepond-broker/src/http/head.rs
@@ -204,7 +204,7 @@
 }
 
 /// Parses and removes the head of a response from `input`; `None` until all of it has arrived.
-pub fn parse_response(input: &mut Buffer) -> Result<Option<Head>, HttpError> {
+pub(super) fn parse_response_head(input: &mut Buffer) -> Result<Option<Head>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_COUNT];
     let mut response = httparse::Response::new(&mut headers);
     match response.parse(input.filled()) {
--- a/crates/dunepond-broker/src/http/tests/mod.rs
+++ b/crates/dunepond-broker/src/http/tests/mod.rs
@@ -27,29 +27,28 @@
 /// by a reset otherwise. Returns its body; `None` if the response is incomplete.
 fn parse_response_in_chunks(bytes: &str, chunk_bytes: usize, is_closed: bool) -> Option<String> {
     let pool = Pool::default();
-    let (mut input, mut message) = (pool.acquire(), None);
+    let (mut input, mut responses) = (pool.acquire(), ResponseReader::default());
+    let body = |message: Message| String::from_utf8_lossy(message.body_bytes()).into_owned();
     for chunk in bytes.as_bytes().chunks(chunk_bytes) {
         assert_eq!(input.read_from(chunk).unwrap(), chunk.len());
-        if message.is_none() {
-            message = parse_response(&mut input).unwrap().map(Message::new);
-        }
-        if let Some(message) = &mut message
-            && message.read_body(&mut input, &pool).unwrap()
-        {
-            return Some(String::from_utf8_lossy(message.body_bytes()).into_owned());
+        if let Some(message) = responses.read(&mut input, &pool).unwrap() {
+            assert!(!responses.has_partial_response());
+            return Some(body(message));
         }
     }
-    let message = message.as_mut().filter(|_| is_closed)?;
-    let is_complete = message.finish_at_close()
-        && !message.head.keep_alive
-        && message.read_body(&mut input, &pool).unwrap();
-    is_complete.then(|| String::from_utf8_lossy(message.body_bytes()).into_owned())
+    if !is_closed || !responses.finish_at_close() {
+        return None;
+    }
+    let message = responses.read(&mut input, &pool).unwrap()?;
+    (!message.head.keep_alive).then(|| body(message))
 }
 
 #[rstest]
 #[case::no_length("200 OK\r\n\r\nhello", Some("hello"), None)]
 #[case::no_length_and_kept_alive("200 OK\r\nConnection: keep-alive\r\n\r\nhello", Some("hello"), None)]
 #[case::truncated("200 OK\r\nContent-Length: 6\r\n\r\nhello", None, None)]
+#[case::interim_response_before("100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello", Some("hello"), None)]
+#[case::interim_response_alone("100 Continue\r\n\r\n", None, None)]
 #[case::without_a_body("204 No Content\r\n\r\n", Some(""), Some(""))]
 fn response_without_length_ends_at_close(
     #[case] bytes: &str,
--- a/crates/dunepond-broker/src/upstream/connection.rs
+++ b/crates/dunepond-broker/src/upstream/connection.rs
@@ -13,6 +13,7 @@
 use crate::buffers::WriteQueue;
 use crate::clock::{TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
+use crate::http::ResponseReader;
 use crate::iteration::{LoopEvent, watch};
 
 /// Share of the configured idle timeout after which the broker closes an idle connection. It is below 1 so that no
@@ -84,7 +85,7 @@
             cancelled: Vec::new(),
             last_batch: 0,
             uses_search_api,
-            message: None,
+            responses: ResponseReader::default(),
             reusable_at: f64::MIN,
             finished: VecDeque::new(),
             turn_unfinished: false,
--- a/crates/dunepond-broker/src/upstream/mod.rs
+++ b/crates/dunepond-broker/src/upstream/mod.rs
@@ -28,7 +28,7 @@
 use crate::control_plane::{Gate, PartTarget, QueryStart};
 use crate::endpoint::EndpointInfo;
 use crate::frames::SearchReport;
-use crate::http::Message;
+use crate::http::ResponseReader;
 use crate::iteration::EventLoopHandle;
 use crate::read_turn::UnfinishedTurns;
 pub use connection::open;
@@ -113,8 +113,8 @@
     last_batch: u64,
     /// Whether the connection uses the search API, with one request at a time.
     uses_search_api: bool,
-    /// The search API response that is being received.
-    message: Option<Message>,
+    /// The search API responses that are being received.
+    responses: ResponseReader,
     /// From when on the connection may get attempts, in Unix seconds.
     reusable_at: f64,
     /// Ids of the attempts that most recently ended or were cancelled on this connection, at most
@@ -308,7 +308,7 @@
     /// Returns whether the first bytes of a frame or a response have arrived and its last ones have not been handled.
     fn has_partial_message(&self) -> bool {
         // The head of a response and the part of its body that has arrived are no longer in `input`.
-        self.message.is_some() || self.input.as_ref().is_some_and(|input| !input.is_empty())
+        self.responses.has_partial_response() || self.input.as_ref().is_some_and(|input| !input.is_empty())
     }
 
     /// Returns whether new attempts may be written to the connection, in frames or as requests of the search API.
--- a/crates/dunepond-broker/src/upstream/response.rs
+++ b/crates/dunepond-broker/src/upstream/response.rs
@@ -6,11 +6,11 @@
 use tracing::{debug, warn};
 
 use super::{CompletedAttempt, SEARCH_API_REUSE_DELAY_SECONDS, Upstream};
-use crate::buffers::{Buffer, Pool};
+use crate::buffers::Buffer;
 use crate::clock::{TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::frames::{self, NodeFrame, ReplicaOutcome, SearchReport};
-use crate::http::{self, HttpError, Message};
+use crate::http::Message;
 use crate::read_turn::{ReadTurn, Received, UnfinishedConnection};
 
 /// How many bytes of a malformed frame are logged.
@@ -57,10 +57,7 @@
             let connection_end = match turn.read(input, &*connection.stream) {
                 // A close completes a search API response without a length. After a failed write it does not: once a
                 // reset has been reported, later reads look like an ordinary close.
-                Ok(Received::End)
-                    if write_failure.is_none()
-                        && connection.message.as_mut().is_some_and(Message::finish_at_close) =>
-                {
+                Ok(Received::End) if write_failure.is_none() && connection.responses.finish_at_close() => {
                     self.receive_search_response(now, id)
                 }
                 Ok(Received::End) => write_failure.or(Some(ConnectionEnd::Closed)),
@@ -114,11 +111,10 @@
     fn parse_search_response(&mut self, id: usize) -> Result<Option<Message>, ConnectionEnd> {
         let connection = &mut self.connections[id];
         let Some(input) = connection.input.as_mut() else { return Ok(None) };
-        match read_message(&mut connection.message, input, &self.pool) {
-            Ok(false) => Ok(None),
+        match connection.responses.read(input, &self.pool) {
             // Bytes after the only outstanding response could be taken for the start of the next response.
-            Ok(true) if !input.is_empty() => Err(ConnectionEnd::ProtocolError),
-            Ok(true) => Ok(connection.message.take()),
+            Ok(Some(_)) if !input.is_empty() => Err(ConnectionEnd::ProtocolError),
+            Ok(response) => Ok(response),
             Err(error) => {
                 warn!("node {}: invalid HTTP response: {}", self.nodes[connection.node].name(), error.reason);
                 Err(ConnectionEnd::ProtocolError)
@@ -283,11 +279,3 @@
         (!is_written).then_some(ConnectionEnd::FrameAborted)
     }
 }
-
-/// Parses more of a response, whose head may be parsed already. Returns `true` once the response is complete.
-fn read_message(message: &mut Option<Message>, input: &mut Buffer, pool: &Pool) -> Result<bool, HttpError> {
-    if message.is_none() {
-        *message = http::parse_response(input)?.map(Message::new);
-    }
-    message.as_mut().map_or(Ok(false), |message| message.read_body(input, pool))
-}
--- a/crates/dunepond-broker/src/upstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/upstream/tests/mod.rs
@@ -236,3 +236,41 @@
         );
     }
 }
+
+/// Guards against an interim response that ends its attempt: the attempt would fail although it runs, and the response that
+/// follows would be taken for the one to the next request.
+#[rstest]
+#[case::one("HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::with_headers("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nContent-Length: 5\r\n\r\n")]
+#[case::two("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")]
+fn interim_response_does_not_end_the_attempt(
+    #[case] interim: &str,
+    #[values(true, false)] is_read_before_the_response: bool,
+) {
+    let mut fixture = Fixture::with_search_api();
+    fixture.upstream.set_search_api_nodes(vec!["127.0.0.1/32".parse().unwrap()], vec![true]);
+    let (id, mut node_side) = fixture.connect(1, 1);
+    node_side.write_all(interim.as_bytes()).unwrap();
+    if is_read_before_the_response {
+        fixture.take_turn(id);
+        assert_eq!(fixture.upstream.completed.len(), 0);
+    }
+    let body = "{\"timed_out\":false,\"updated\":1,\"failures\":[]}";
+    let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    node_side.write_all(response.as_bytes()).unwrap();
+    fixture.finish_turns(id, 1);
+    assert_eq!(fixture.upstream.completed[0].ended.outcome, AttemptOutcome::Served);
+}
+
+/// Guards against interim responses without an end, and against a change to a protocol that the broker did not ask for.
+#[rstest]
+#[case::without_end("HTTP/1.1 100 Continue\r\n\r\n", 4_000)]
+#[case::switched_protocol("HTTP/1.1 101 Switching Protocols\r\n\r\n", 1)]
+fn interim_responses_are_bounded(#[case] interim: &str, #[case] count: usize) {
+    let mut fixture = Fixture::with_search_api();
+    let (id, mut node_side) = fixture.connect(1, 1);
+    node_side.write_all(interim.repeat(count).as_bytes()).unwrap();
+    fixture.finish_turns(id, 1);
+    assert_eq!(fixture.upstream.completed[0].ended.outcome, AttemptOutcome::ConnectionLost);
+    assert!(!fixture.upstream.connections.contains(id));
+}
