Upstream: a node that repeats more ends than there were attempts is cut off

Cause: the end of a finished attempt was ignored each time it came again, so a node could repeat one for ever: read and parsed without an end, and never counted as failing. A node may now repeat as many ends as attempts have ended on the connection; after that the connection is closed as malformed, which fails the attempts on it and counts against the node as any failure.

Before: `node_may_repeat_each_end_once` failed (the connection stayed open).

--- a/crates/dunepond-broker/src/http/response.rs
+++ b/crates/dunepond-broker/src/http/response.rs
@@ -67,7 +67,9 @@
 /// Whether a head is that of an interim response. Fails if it changes the protocol, as the broker never asks for that.
 fn is_interim(head: &Head) -> Result<bool, HttpError> {
     match head.status {
-        SWITCHING_PROTOCOLS => Err(HttpError::new(400, "status: 101 without a request to change the protocol")),
+        SWITCHING_PROTOCOLS => {
+            Err(HttpError::new(400, "status: 101 without a request to change the protocol"))
+        }
         status => Ok((100..200).contains(&status)),
     }
 }
--- a/crates/dunepond-broker/src/upstream/connection.rs
+++ b/crates/dunepond-broker/src/upstream/connection.rs
@@ -88,6 +88,7 @@
             responses: ResponseReader::default(),
             reusable_at: f64::MIN,
             finished: VecDeque::new(),
+            repeats_left: 0,
             turn_unfinished: false,
             write_failure: None,
         });
--- a/crates/dunepond-broker/src/upstream/mod.rs
+++ b/crates/dunepond-broker/src/upstream/mod.rs
@@ -120,6 +120,8 @@
     /// Ids of the attempts that most recently ended or were cancelled on this connection, at most
     /// `MAX_FINISHED_IDS`.
     finished: VecDeque<Rc<str>>,
+    /// How many ends of finished attempts the node may still repeat: it may repeat each once.
+    repeats_left: usize,
     /// Whether the last turn ended before all bytes that had arrived were read.
     turn_unfinished: bool,
     /// Why a write failed; `None` if none did. The connection is closed once the responses that arrived before are read.
@@ -288,6 +290,7 @@
     fn finish_request(&mut self, position: usize) -> Option<OutstandingRequest> {
         let out = self.outstanding.remove(position)?;
         self.finished.push_back(out.request.id.clone());
+        self.repeats_left += 1;
         if self.finished.len() > MAX_FINISHED_IDS {
             self.finished.pop_front();
         }
--- a/crates/dunepond-broker/src/upstream/response.rs
+++ b/crates/dunepond-broker/src/upstream/response.rs
@@ -212,15 +212,8 @@
             return Err(self.unexpected_frame(id, &frame));
         };
         let Some(position) = connection.outstanding.iter().position(|out| *out.request.id == *attempt) else {
-            // The end of a cancelled or finished attempt is ignored. An unknown id is an error: it could stand for any
-            // attempt on this connection.
-            let cancelled = connection.cancelled.iter().position(|cancelled| **cancelled == *attempt);
-            if cancelled.is_none() && !connection.finished.iter().any(|finished| **finished == *attempt) {
-                return Err(self.malformed(id, "an E frame for an attempt that is not outstanding"));
-            }
-            if let Some(position) = cancelled {
-                self.connections[id].cancelled.swap_remove(position);
-            }
+            let attempt = attempt.to_string();
+            self.ignore_end(id, &attempt)?;
             return Ok(Some(DecodedEnd { ended: None, frame_bytes }));
         };
         let (outcome, value) = match reported {
@@ -237,6 +230,25 @@
         Ok(Some(DecodedEnd { ended: Some(ended), frame_bytes }))
     }
 
+    /// Handles the end of an attempt that is not outstanding. The end of a cancelled attempt, and each repeated end of a finished
+    /// one, is ignored. Fails for an unknown id, which could stand for any attempt on this connection, and for a node that repeats
+    /// more ends than there were attempts.
+    fn ignore_end(&mut self, id: usize, attempt: &str) -> Result<(), ConnectionEnd> {
+        let connection = &mut self.connections[id];
+        if let Some(position) = connection.cancelled.iter().position(|cancelled| **cancelled == *attempt) {
+            connection.cancelled.swap_remove(position);
+            return Ok(());
+        }
+        if !connection.finished.iter().any(|finished| **finished == *attempt) {
+            return Err(self.malformed(id, "an E frame for an attempt that is not outstanding"));
+        }
+        let Some(repeats_left) = connection.repeats_left.checked_sub(1) else {
+            return Err(self.malformed(id, "more repeated E frames than attempts"));
+        };
+        connection.repeats_left = repeats_left;
+        Ok(())
+    }
+
     /// Logs a frame that does not report the end of an attempt. Returns why the connection has to be closed.
     fn unexpected_frame(&self, id: usize, frame: &NodeFrame) -> ConnectionEnd {
         let NodeFrame::Rejected(reason) = frame else {
--- a/crates/dunepond-broker/src/upstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/upstream/tests/mod.rs
@@ -274,3 +274,20 @@
     assert_eq!(fixture.upstream.completed[0].ended.outcome, AttemptOutcome::ConnectionLost);
     assert!(!fixture.upstream.connections.contains(id));
 }
+
+/// Guards against a node that repeats the end of an attempt without an end: it would be read for ever and never count as failing.
+#[test]
+fn node_may_repeat_each_end_once() {
+    let mut fixture = Fixture::new();
+    let (id, mut node_side) = fixture.connect(1, 2);
+    node_side.write_all(&[answer(1, 0), answer(1, 1)].concat()).unwrap();
+    fixture.finish_turns(id, 2);
+    let repeat = encode_frame(b'E', format!("{} hit 1 -\n", attempt_id(1, 0)).as_bytes());
+    node_side.write_all(&repeat.repeat(2)).unwrap();
+    fixture.take_turn(id);
+    assert!(fixture.upstream.connections.contains(id));
+    node_side.write_all(&repeat).unwrap();
+    fixture.take_turn(id);
+    assert!(!fixture.upstream.connections.contains(id));
+    assert_eq!(fixture.upstream.completed.len(), 2);
+}
