Event loop: counters report a histogram of the times of turns

The log warned of turns over 50 ms only, so shorter ones that delay every client could not be seen. With `counters every=`, a line now gives number, median, 99th and 99.9th percentile and longest of the times that handling an event or a timer took since the last line (`hdrhistogram`, which the testkit uses already). With the recording taken out, `counters_report_the_times_of_turns` failed.

--- a/crates/dunepond-broker/src/event_loop/long_turns.rs
+++ b/crates/dunepond-broker/src/event_loop/long_turns.rs
@@ -68,9 +68,10 @@
         Turn { subject, began_at: self.clock.now(), read_bytes_before: self.router_host.pool.read_bytes() }
     }
 
-    /// Logs a warning if the turn has taken long.
-    pub(super) fn end_turn(&self, turn: &Turn) {
+    /// Records the turn's time, and logs a warning if it has taken long.
+    pub(super) fn end_turn(&mut self, turn: &Turn) {
         let elapsed = self.clock.now() - turn.began_at;
+        self.turn_times.record(elapsed);
         if elapsed > LONG_TURN_SECONDS {
             let read_bytes = self.router_host.pool.read_bytes() - turn.read_bytes_before;
             let subject = NamedSubject { subject: turn.subject, event_loop: self };
--- a/crates/dunepond-broker/src/event_loop/mod.rs
+++ b/crates/dunepond-broker/src/event_loop/mod.rs
@@ -12,6 +12,7 @@
 mod shutdown;
 mod startup;
 mod timers;
+mod turn_times;
 
 use dunepond_body_buffer::DiskEvent;
 use dunepond_config::operator::OperatorConfig;
@@ -29,6 +30,7 @@
 use crate::router::RouterHost;
 use iteration_times::IterationTimes;
 pub use startup::{Hooks, serve};
+use turn_times::TurnTimes;
 
 /// The broker: all state that the event loop works on.
 struct EventLoop {
@@ -49,6 +51,7 @@
     /// answered or the list has been used.
     configured_endpoints: Option<EndpointUpdate>,
     times: IterationTimes,
+    turn_times: TurnTimes,
     /// The connections that get another turn in the next iteration.
     unfinished_turns: UnfinishedTurns,
     /// The longest query timeout in seconds, from which the schedule of a shutdown is computed; lowered if the longest
--- a/crates/dunepond-broker/src/event_loop/startup.rs
+++ b/crates/dunepond-broker/src/event_loop/startup.rs
@@ -20,6 +20,7 @@
 use super::setup::{
     BodySpool, listen_with_retry, setup_error, start_body_spool, start_job_pool, watch_signals,
 };
+use super::turn_times::TurnTimes;
 use crate::background::Background;
 use crate::body_store::BodyStore;
 use crate::buffers::{self, Pool};
@@ -163,6 +164,7 @@
         operator,
         configured_endpoints,
         times: IterationTimes::new(clock.at(signals_since)),
+        turn_times: TurnTimes::new(),
         unfinished_turns,
         longest_timeout,
         shutdown: None,
--- a/crates/dunepond-broker/tests/turns.rs
+++ b/crates/dunepond-broker/tests/turns.rs
@@ -2,10 +2,14 @@
 //! event; and a turn that takes long is logged.
 
 use std::io::{Read, Write};
+use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use dunepond_testkit::stand_ins::{Broker, Client, Node};
+use dunepond_testkit::stand_ins::{
+    Broker, Client, DiscoveryServer, Node, broker_program, config, launch_command, scratch_path,
+};
+use serde_json::json;
 
 /// Number of requests that a client sends at once: several hundred turns.
 const REQUESTS: usize = 5_000;
@@ -46,3 +50,28 @@
         thread::sleep(STOP);
     }
 }
+
+#[test]
+fn counters_report_the_times_of_turns() {
+    let node = Node::start("s-0");
+    let rows = vec![node.endpoint("ready")];
+    let list = DiscoveryServer::start(rows.clone());
+    let operator_file = scratch_path("kdl");
+    std::fs::write(&operator_file, "counters every=0.1\n").unwrap();
+    let mut command = Command::new(broker_program());
+    command.arg("run").arg("--operator").arg(&operator_file);
+    let mut config = config(list.address, rows);
+    config["log"] = json!("info");
+    let broker = Broker::wait_until_listening(launch_command(command, &config));
+    std::fs::remove_file(&operator_file).unwrap();
+    let mut client = Client::connect(&broker);
+    let started_at = Instant::now();
+    let has_count = |line: &str| {
+        let count = line.split_once("event loop counters turns=\"")?.1.split(' ').next()?;
+        count.parse().ok().filter(|count: &u64| *count > 0)
+    };
+    while !broker.log_text().lines().any(|line| has_count(line).is_some()) {
+        assert!(started_at.elapsed() < MAX_WAIT, "{}", broker.log_text());
+        assert_eq!(client.request(READINESS_CHECK).status, 200);
+    }
+}
