HTTP: the bound on a head holds however its bytes arrive

Cause: the length of a head was checked only while the head was incomplete, so one of up to 64 KiB was accepted if its last bytes came in one read with those before 16 KiB, and refused in other pieces. A complete head is now checked too, of requests (431) and of responses (the attempt fails).

Before: `long_head` failed in pieces of 5,000 bytes. The cases of malformed requests now run in pieces of 500, 5,000 and 60,000 bytes; two cells of the table of bounds that had no test got one (number of headers, blank lines). With the check out, `long_head` fails for 5,000 and 60,000 bytes, and `long_head_of_a_response_is_rejected`.

--- a/crates/dunepond-broker/src/http/head.rs
+++ b/crates/dunepond-broker/src/http/head.rs
@@ -177,13 +177,9 @@
     }
 }
 
-/// Returns `None` for a head that has not completely arrived, or an error if it is already too long.
-fn incomplete_head(input: &Buffer) -> Result<Option<Head>, HttpError> {
-    if input.filled().len() > MAX_HEAD_BYTES {
-        Err(HttpError::new(431, "head: over 16 KiB"))
-    } else {
-        Ok(None)
-    }
+/// Fails if a head, or the part of it that has arrived, is too long.
+fn check_length(head_bytes: usize) -> Result<(), HttpError> {
+    if head_bytes > MAX_HEAD_BYTES { Err(HttpError::new(431, "head: over 16 KiB")) } else { Ok(()) }
 }
 
 /// Parses and removes the head of a request from `input`; `None` until all of it has arrived.
@@ -192,8 +188,9 @@
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(input.filled()) {
         Err(e) => Err(HttpError::new(400, format!("head: {e}"))),
-        Ok(httparse::Status::Partial) => incomplete_head(input),
+        Ok(httparse::Status::Partial) => check_length(input.filled().len()).map(|()| None),
         Ok(httparse::Status::Complete(used)) => {
+            check_length(used)?;
             let mut head = parse_headers(request.headers, request.version.unwrap_or(0), Framing::Length(0))?;
             head.method = request.method.unwrap_or_default().to_string();
             head.path = request.path.unwrap_or_default().to_string();
@@ -209,8 +206,9 @@
     let mut response = httparse::Response::new(&mut headers);
     match response.parse(input.filled()) {
         Err(e) => Err(HttpError::new(400, format!("head: {e}"))),
-        Ok(httparse::Status::Partial) => incomplete_head(input),
+        Ok(httparse::Status::Partial) => check_length(input.filled().len()).map(|()| None),
         Ok(httparse::Status::Complete(used)) => {
+            check_length(used)?;
             let status = response.code.unwrap_or(0);
             let has_no_body = matches!(status, 100..=199 | 204 | 304);
             let default_framing = if has_no_body { Framing::Done } else { Framing::UntilClose };
--- a/crates/dunepond-broker/src/http/tests/mod.rs
+++ b/crates/dunepond-broker/src/http/tests/mod.rs
@@ -85,6 +85,9 @@
 /// short enough, and there are ever more.
 #[rstest]
 #[case::endless_head(format!("GET /a HTTP/1.1\r\nA: {}", "x".repeat(MAX_HEAD_BYTES)), 431)]
+#[case::long_head(format!("GET /a HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(MAX_HEAD_BYTES)), 431)]
+#[case::many_headers(format!("GET /a HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(65)), 400)]
+#[case::endless_blank_lines("\r\n".repeat(MAX_HEAD_BYTES), 431)]
 #[case::huge_chunk(format!("{CHUNKED}10001\r\n"), 413)]
 #[case::many_chunks(format!("{CHUNKED}{}", format!("8000\r\n{}\r\n", "x".repeat(0x8000)).repeat(3)), 413)]
 #[case::endless_size(format!("{CHUNKED}1;{}", "x".repeat(2 * MAX_HEAD_BYTES)), 400)]
@@ -96,8 +99,22 @@
 #[case::two_lengths("POST /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n".to_string(), 400)]
 #[case::signed("POST /a HTTP/1.1\r\nContent-Length: +5\r\n\r\n".to_string(), 400)]
 #[case::gzip("POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n".to_string(), 501)]
-fn oversized_or_malformed_request_is_rejected(#[case] bytes: String, #[case] status: u16) {
-    assert_eq!(parse_request_in_chunks(bytes.as_bytes(), 5000), Err(status));
+fn oversized_or_malformed_request_is_rejected(
+    #[case] bytes: String,
+    #[case] status: u16,
+    #[values(500, 5_000, 60_000)] chunk_bytes: usize,
+) {
+    assert_eq!(parse_request_in_chunks(bytes.as_bytes(), chunk_bytes), Err(status));
+}
+
+#[test]
+fn long_head_of_a_response_is_rejected() {
+    let pool = Pool::default();
+    let mut input = pool.acquire();
+    let response = format!("HTTP/1.1 200 OK\r\nA: {}\r\n\r\n", "x".repeat(MAX_HEAD_BYTES));
+    input.append(response.as_bytes());
+    let error = ResponseReader::default().read(&mut input, &pool).err();
+    assert_eq!(error.map(|error| error.status), Some(431));
 }
 
 #[test]
