HTTP: a response of 204 or 304 has no body, whatever length it states

Cause: a stated length or chunks took precedence, so the reader waited for a body that never comes, and the attempt or the call to discovery ended by its time limit instead of at once.

--- a/crates/dunepond-broker/src/http/head.rs
+++ b/crates/dunepond-broker/src/http/head.rs
@@ -214,6 +214,10 @@
             let default_framing = if has_no_body { Framing::Done } else { Framing::UntilClose };
             let mut head = parse_headers(response.headers, response.version.unwrap_or(0), default_framing)?;
             head.status = status;
+            if has_no_body {
+                // A length describes the body that another method or status would have.
+                head.framing = Framing::Done;
+            }
             input.consume(used);
             Ok(Some(head))
         }
--- a/crates/dunepond-broker/src/http/tests/mod.rs
+++ b/crates/dunepond-broker/src/http/tests/mod.rs
@@ -49,6 +49,12 @@
 #[case::truncated("200 OK\r\nContent-Length: 6\r\n\r\nhello", None, None)]
 #[case::interim_response_before("100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello", Some("hello"), None)]
 #[case::interim_response_alone("100 Continue\r\n\r\n", None, None)]
+#[case::without_a_body_despite_a_length("204 No Content\r\nContent-Length: 5\r\n\r\n", Some(""), Some(""))]
+#[case::without_a_body_despite_chunks(
+    "304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+    Some(""),
+    Some("")
+)]
 #[case::without_a_body("204 No Content\r\n\r\n", Some(""), Some(""))]
 fn response_without_length_ends_at_close(
     #[case] bytes: &str,
