--- a/crates/dunepond-broker/src/prefilter_connections/tests/mod.rs
+++ b/crates/dunepond-broker/src/prefilter_connections/tests/mod.rs
@@ -99,3 +99,16 @@
     }
     fixture.connect(1..2);
 }
+
+#[test]
+fn answer_to_an_unknown_request_closes_the_connection() {
+    let mut fixture = Fixture::new();
+    let (id, mut node) = fixture.connect(0..1);
+    node.write_all(&answer(7)).unwrap();
+    let started_at = Instant::now();
+    while fixture.connections.connections.contains(id) {
+        assert!(started_at.elapsed() < MAX_WAIT, "the connection is not closed");
+        fixture.connections.on_ready(NOW, id, true, &mut fixture.timers);
+    }
+    assert!(matches!(fixture.connections.responses.pop_front(), Some((0, Err(_)))));
+}
--- a/crates/dunepond-broker/src/upstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/upstream/tests/mod.rs
@@ -291,3 +291,16 @@
     assert!(!fixture.upstream.connections.contains(id));
     assert_eq!(fixture.upstream.completed.len(), 2);
 }
+
+/// Guards against bytes that would be taken for the start of the next response.
+#[rstest]
+#[case::next_response(RESPONSE)]
+#[case::one_byte("x")]
+fn bytes_behind_a_response_lose_the_attempt(#[case] surplus: &str) {
+    let mut fixture = Fixture::with_search_api();
+    let (id, mut node_side) = fixture.connect(1, 1);
+    node_side.write_all(format!("{RESPONSE}{surplus}").as_bytes()).unwrap();
+    fixture.finish_turns(id, 1);
+    assert_eq!(fixture.upstream.completed[0].ended.outcome, AttemptOutcome::ConnectionLost);
+    assert!(!fixture.upstream.connections.contains(id));
+}
