Connections: malformed and unrequested messages are counted and logged by name

A node that sent without a request on an idle connection had it closed with a line for debugging only, and nothing counted peers that pass a bound. Each such message is now a warning with the node's name (at a bounded rate, as all lines), and with `counters every=` a line says how many clients, nodes, prefilter connections and discovery have sent.

--- a/crates/dunepond-broker/src/discovery/mod.rs
+++ b/crates/dunepond-broker/src/discovery/mod.rs
@@ -79,6 +79,8 @@
     last_request_at: f64,
     /// Seconds before the next call after a failed one.
     backoff: f64,
+    /// Number of calls that ended since the start because the agent sent a malformed or unrequested message.
+    pub malformed_messages: u64,
 }
 
 impl DiscoveryClient {
@@ -102,6 +104,7 @@
             out_of_descriptors: false,
             last_request_at: f64::MIN,
             backoff: FIRST_BACKOFF_SECONDS,
+            malformed_messages: 0,
         }
     }
 
@@ -218,6 +221,7 @@
     fn end_call(&mut self, now: f64, at: usize, reason: ConnectionEnd, timers: &mut Timers) {
         let call = self.calls.remove(at);
         self.handle.remove(call.token);
+        self.malformed_messages += u64::from(reason == ConnectionEnd::ProtocolError);
         self.on_call_ended(now, reason, timers);
     }
 
--- a/crates/dunepond-broker/src/discovery/tests/mod.rs
+++ b/crates/dunepond-broker/src/discovery/tests/mod.rs
@@ -73,3 +73,11 @@
     fixture.agent.write_all(responses.as_bytes()).unwrap();
     assert_eq!(fixture.discovery.on_ready(NOW, true, &mut fixture.timers).len(), 1);
 }
+
+#[test]
+fn malformed_list_is_counted() {
+    let mut fixture = Fixture::new();
+    fixture.agent.write_all(b"what is this\r\n\r\n").unwrap();
+    assert_eq!(fixture.discovery.on_ready(NOW, true, &mut fixture.timers).len(), 0);
+    assert_eq!(fixture.discovery.malformed_messages, 1);
+}
--- a/crates/dunepond-broker/src/downstream/decode.rs
+++ b/crates/dunepond-broker/src/downstream/decode.rs
@@ -179,6 +179,7 @@
         let client = &mut self.connections[id];
         // After a malformed request it is unknown where the next one begins.
         client.keep_alive &= outcome.is_ok();
+        self.malformed_messages += u64::from(outcome.is_err());
         let is_search_api = client.port == Port::SearchApi;
         match self.search_api.clone().filter(|_| is_search_api) {
             Some(api) => self.finish_search_request(now, id, &api, outcome, timers),
--- a/crates/dunepond-broker/src/downstream/mod.rs
+++ b/crates/dunepond-broker/src/downstream/mod.rs
@@ -136,6 +136,8 @@
     max_connections: usize,
     max_buffers: usize,
     settings: Rc<HostSettings>,
+    /// Number of malformed requests since the start.
+    pub malformed_messages: u64,
     /// The listeners of the broker's own port and of the search API; `max_connections` bounds the connections of both
     /// together.
     listeners: Vec<Listener>,
@@ -208,6 +210,7 @@
             bodies_received: Vec::new(),
             blocked_on_body: Vec::new(),
             clients_to_read: Vec::new(),
+            malformed_messages: 0,
             unfinished_turns: unfinished_turns.clone(),
             disconnected_clients: Vec::new(),
             has_endpoints: false,
--- a/crates/dunepond-broker/src/event_loop/background.rs
+++ b/crates/dunepond-broker/src/event_loop/background.rs
@@ -75,12 +75,25 @@
         self.background.schedule_timer(now, &mut self.router_host.timers);
     }
 
+    /// Logs how many malformed messages peers have sent since the start, by the kind of connection.
+    fn log_malformed_messages(&self) {
+        let prefilter = self.router_host.prefilter_connections.as_ref();
+        info!(
+            clients = self.router_host.downstream.malformed_messages,
+            nodes = self.router_host.upstream.malformed_messages,
+            prefilter = prefilter.map_or(0, |connections| connections.malformed_messages),
+            discovery = self.discovery.malformed_messages,
+            "malformed messages"
+        );
+    }
+
     /// Logs the counters and schedules the next report, if the operator's file sets an interval for them.
     pub(super) fn report_counters(&mut self) {
         let now = self.router_host.now;
         if let Some(interval) = self.operator.counters_interval_seconds {
             self.router_host.timers.schedule(now + interval, TimerEvent::Counters);
             self.turn_times.take_summary().log();
+            self.log_malformed_messages();
             let copied = self.router_host.upstream.copied_bytes;
             self.router_host.report_body_counters(copied);
             if let Some(prefilter) = &self.prefilter {
--- a/crates/dunepond-broker/src/prefilter_connections.rs
+++ b/crates/dunepond-broker/src/prefilter_connections.rs
@@ -71,6 +71,8 @@
     /// Outcomes of requests that have not been reported to the prefilter yet: each is a request's number with its
     /// answers, or with the reason why it failed.
     pub responses: VecDeque<(u64, Result<PrefilterAnswers, RequestFailure>)>,
+    /// Number of connections closed since the start because their node sent a malformed or unrequested message.
+    pub malformed_messages: u64,
 }
 
 impl PrefilterConnections {
@@ -93,6 +95,7 @@
             unfinished_turns: unfinished_turns.clone(),
             settings,
             responses,
+            malformed_messages: 0,
         }
     }
 
@@ -214,6 +217,7 @@
                 }
                 // The next answer would be read as the remainder of this frame.
                 Ok(Received::Drained) if connection.outstanding.is_empty() => {
+                    warn!("node {}: a part of a frame without a prefilter request", connection.node);
                     Some(ConnectionEnd::ProtocolError)
                 }
                 Ok(Received::Drained) => break,
@@ -305,6 +309,7 @@
         timers.cancel(connection.timer);
         self.by_node.remove(&connection.node);
         self.handle.remove(connection.token);
+        self.malformed_messages += u64::from(connection_end == ConnectionEnd::ProtocolError);
         debug!(
             "node {}: prefilter connection {connection_end}, {} requests outstanding",
             connection.node,
--- a/crates/dunepond-broker/src/prefilter_connections/tests/mod.rs
+++ b/crates/dunepond-broker/src/prefilter_connections/tests/mod.rs
@@ -111,4 +111,5 @@
         fixture.connections.on_ready(NOW, id, true, &mut fixture.timers);
     }
     assert!(matches!(fixture.connections.responses.pop_front(), Some((0, Err(_)))));
+    assert_eq!(fixture.connections.malformed_messages, 1);
 }
--- a/crates/dunepond-broker/src/upstream/connection.rs
+++ b/crates/dunepond-broker/src/upstream/connection.rs
@@ -179,6 +179,7 @@
         timers.cancel(connection.timer);
         connection.timer.and_then(|key| self.idle.remove(&key));
         self.handle.remove(connection.token);
+        self.malformed_messages += u64::from(connection_end == ConnectionEnd::ProtocolError);
         let node_entry = &mut self.nodes[connection.node];
         node_entry.connections.retain(|other| *other != id);
         match connection.outstanding.len() {
--- a/crates/dunepond-broker/src/upstream/mod.rs
+++ b/crates/dunepond-broker/src/upstream/mod.rs
@@ -209,6 +209,8 @@
     pub written_bodies: VecDeque<(NodeId, AttemptId)>,
     /// Payload bytes copied into frames since the start.
     pub copied_bytes: u64,
+    /// Number of connections closed since the start because their node sent a malformed or unrequested message.
+    pub malformed_messages: u64,
     /// Attempts that have ended and are not reported to the router yet. They are queued because an attempt may end
     /// during a call to the router, which must not be called again from within that call.
     pub completed: VecDeque<CompletedAttempt>,
@@ -379,6 +381,7 @@
             changed_nodes: Vec::new(),
             written_bodies: VecDeque::new(),
             copied_bytes: 0,
+            malformed_messages: 0,
             completed: VecDeque::new(),
         }
     }
--- a/crates/dunepond-broker/src/upstream/response.rs
+++ b/crates/dunepond-broker/src/upstream/response.rs
@@ -84,7 +84,8 @@
         connection.turn_unfinished = false;
         if connection.outstanding.is_empty() && connection.has_partial_message() {
             // The next response would be read as the remainder of this message.
-            return self.close(now, id, ConnectionEnd::ProtocolError, timers);
+            let connection_end = self.unrequested(id);
+            return self.close(now, id, connection_end, timers);
         }
         if connection.input.as_ref().is_none_or(Buffer::is_empty) {
             connection.input = None;
@@ -126,7 +127,7 @@
     /// connection has to be closed, if it has to.
     fn finish_search_attempt(&mut self, now: f64, id: usize, message: &Message) -> Option<ConnectionEnd> {
         let connection = &mut self.connections[id];
-        let Some(out) = connection.outstanding.pop_front() else { return Some(ConnectionEnd::ProtocolError) };
+        let Some(out) = connection.outstanding.pop_front() else { return Some(self.unrequested(id)) };
         let is_written = out.is_written(&connection.output);
         let node = connection.node;
         let (outcome, value) = self.search_outcome(node, out.request.query_class, message);
@@ -262,6 +263,12 @@
         ConnectionEnd::RejectedByPeer
     }
 
+    /// Logs that a node has sent something without a request. Returns why the connection has to be closed.
+    fn unrequested(&self, id: usize) -> ConnectionEnd {
+        warn!("node {}: sent a message without a request", self.name(self.connections[id].node));
+        ConnectionEnd::ProtocolError
+    }
+
     /// Logs a malformed frame with its first bytes. Returns why the connection has to be closed.
     fn malformed(&self, id: usize, reason: &str) -> ConnectionEnd {
         let connection = &self.connections[id];
--- a/crates/dunepond-broker/src/upstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/upstream/tests/mod.rs
@@ -190,6 +190,7 @@
     if is_read_before_the_attempt {
         fixture.take_turn(id);
         assert!(!fixture.upstream.connections.contains(id));
+        assert_eq!(fixture.upstream.malformed_messages, 1);
     }
     fixture.now += SEARCH_API_REUSE_DELAY_SECONDS;
     fixture.dispatch(2, 1);
--- a/crates/dunepond-broker/tests/turns.rs
+++ b/crates/dunepond-broker/tests/turns.rs
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn counters_report_the_times_of_turns() {
+fn counters_report_times_of_turns_and_malformed_messages() {
     let node = Node::start("s-0");
     let rows = vec![node.endpoint("ready")];
     let list = DiscoveryServer::start(rows.clone());
@@ -74,4 +74,10 @@
         assert!(started_at.elapsed() < MAX_WAIT, "{}", broker.log_text());
         assert_eq!(client.request(READINESS_CHECK).status, 200);
     }
+    assert!(broker.log_text().contains("malformed messages clients=0 nodes=0 prefilter=0 discovery=0"));
+    assert_eq!(client.request("what is this\r\n\r\n").status, 400);
+    while !broker.log_text().contains("malformed messages clients=1 nodes=0 prefilter=0 discovery=0") {
+        assert!(started_at.elapsed() < MAX_WAIT, "{}", broker.log_text());
+        thread::sleep(Duration::from_millis(10));
+    }
 }
