--- a/crates/dunepond-testkit/src/experiments/mod.rs
+++ b/crates/dunepond-testkit/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod background;
 mod bodies;
 mod consensus;
+mod endless;
 mod fleet_at_size;
 mod prefilter;
 mod quota;
@@ -51,7 +52,7 @@
 }
 
 /// All experiments, in the order in which they are listed.
-pub const EXPERIMENTS: [Experiment; 12] = [
+pub const EXPERIMENTS: [Experiment; 13] = [
     Experiment {
         name: "agree",
         summary: "agreement on versions: contradictions, network partitions, time to agree, message rates and CPU time",
@@ -62,6 +63,11 @@
         summary: "large request bodies beyond every limit: memory, small query latency, copied bytes, repeated parts",
         run: bodies::run,
     },
+    Experiment {
+        name: "endless",
+        summary: "clients of a sound node beside nodes that send without end: latency, turns of the event loop",
+        run: endless::run,
+    },
     Experiment {
         name: "map",
         summary: "faults injected into shard maps, transitions and query parts: detection rate and verification cost",
