Query command: the id of a query is random, not that of its process

Cause: `dunepond-broker query` sent `query-PID` as its id, and parts carry it to the nodes. The id now has 16 random hexadecimal digits.

--- a/crates/dunepond-broker/src/query_command.rs
+++ b/crates/dunepond-broker/src/query_command.rs
@@ -10,6 +10,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use serde_json::{Value, json};
 
+use crate::run_id::RunId;
+
 /// How many searches of a file are sent in one `_msearch` request.
 const MAX_SEARCHES_PER_REQUEST: usize = 20;
 /// How long to wait for a response; longer than any query may take.
@@ -28,6 +30,9 @@
 /// Why there is no response to print.
 #[derive(Debug, thiserror::Error)]
 pub enum QueryError {
+    /// The operating system's source of randomness, from which the query's id is drawn, cannot be read.
+    #[error("the system's random source: {0}")]
+    NoRandomness(#[from] getrandom::Error),
     /// The broker cannot be reached, or the connection failed.
     #[error("{address}: {source}")]
     Connection {
@@ -122,7 +127,8 @@
     let weight = 1.0 / shards.len().max(1) as f64;
     let segments: Vec<_> = shards.iter().map(|shard| json!({"bucket": shard, "part": weight})).collect();
     let body = json!({"buckets": segments, "body": text}).to_string();
-    let headers = format!("X-Call-Id: query-{}\r\nX-Budget: {time_budget}\r\n", std::process::id());
+    let run_id = RunId::random()?;
+    let headers = format!("X-Call-Id: query-{run_id}\r\nX-Budget: {time_budget}\r\n");
     let answer =
         parse_response(&exchange(target.address, &post(&format!("/{}", target.index), &headers, &body))?)?;
     if target.json {
--- a/crates/dunepond-broker/src/run_id.rs
+++ b/crates/dunepond-broker/src/run_id.rs
@@ -1,4 +1,4 @@
-//! Distinguishes the ids that one run of the broker makes from those of its other runs and of other brokers.
+//! Distinguishes the ids that one run of the program makes from those of its other runs and of other brokers.
 
 use std::fmt;
 
--- a/crates/dunepond-broker/tests/query.rs
+++ b/crates/dunepond-broker/tests/query.rs
@@ -1,8 +1,10 @@
 //! `dunepond-broker query` against the query port and the search API port of a running broker.
 
+use std::collections::BTreeSet;
 use std::process::Command;
 
 use dunepond_testkit::search_cluster::{NodeProtocol, SearchCluster, SearchNodeBehavior, ranked_documents};
+use dunepond_testkit::stand_ins::{Broker, Node};
 
 /// Starts a search cluster with one node of each protocol.
 fn start_cluster() -> SearchCluster {
@@ -59,3 +61,22 @@
     assert!(succeeded && output.contains("at least 15 found, 3 of 6 shards"), "{output}");
     assert!(output.contains("NOT WHOLE: shard 1:"), "{output}");
 }
+
+/// Guards against an id that returns: a node takes a keyed part whose id it knows for a repeat, and does not run it. Process ids
+/// return, in a container with each call.
+#[test]
+fn each_query_has_a_random_id() {
+    let nodes = [Node::start("s-0")];
+    let (broker, _list) = Broker::start_with_nodes(&nodes);
+    for _ in 0..2 {
+        let (succeeded, output) = query(&["--at", &broker.address.to_string(), "find", "q", "--shards", "1"]);
+        assert!(succeeded, "{output}");
+    }
+    let ids: BTreeSet<_> = nodes[0].part_arrivals().into_iter().map(|(_, id)| id).collect();
+    assert_eq!(ids.len(), 2);
+    let is_random = |id: &String| {
+        let digits = id.strip_prefix("query-").and_then(|rest| rest.strip_suffix(".1")).unwrap_or_default();
+        digits.len() == 16 && digits.bytes().all(|digit| digit.is_ascii_hexdigit())
+    };
+    assert!(ids.iter().all(is_random), "{ids:?}");
+}
