--- a/crates/dunepond-control-plane/src/startup/mod.rs
+++ b/crates/dunepond-control-plane/src/startup/mod.rs
@@ -157,6 +157,11 @@
         .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
+/// Returns the seed of one start of a broker. It differs at each start and at each broker, as the ids that are drawn from it must.
+fn start_seed(configured_seed: u64, incarnation: u64, name: &str) -> u64 {
+    configured_seed ^ incarnation ^ name_hash(name)
+}
+
 /// Waits until a thread ends, at most for [`SHUTDOWN_TIMEOUT`].
 pub(crate) fn join_with_timeout(thread: JoinHandle<()>) {
     let deadline = Instant::now() + SHUTDOWN_TIMEOUT;
@@ -190,3 +195,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dunepond-control-plane/src/startup/stored.rs
+++ b/crates/dunepond-control-plane/src/startup/stored.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::name_hash;
+use super::start_seed;
 use super::voter::open_voter;
 use crate::clock::{monotonic_seconds, unix_seconds};
 use crate::commitments::Commitments;
@@ -46,7 +46,7 @@
         let unix_millis = (unix_seconds() * 1000.0) as u64;
         let (mut data, stored) = DataDirectory::open(&config.data_directory, storage, is_voter, unix_millis)?;
         let incarnation = stored.incarnation;
-        let mut rng = Pcg64Mcg::seed_from_u64(config.seed ^ incarnation ^ name_hash(&consensus.name));
+        let mut rng = Pcg64Mcg::seed_from_u64(start_seed(config.seed, incarnation, &consensus.name));
         let opened_at = monotonic_seconds();
         let voter = open_voter(config, &mut data, stored.voter_records, opened_at, &mut rng)?;
         let lease_client = LeaseClient::new(consensus.clone(), stored.config, opened_at, rng.random());
