Broker tests: the fixtures of the connections share the parts of an event loop

The fixtures of four kinds of connection began with the same lines; they now use `LoopParts` and `peer_listener` of the crate's `tests` module. No test was changed.

--- a/crates/dunepond-broker/src/discovery/tests/mod.rs
+++ b/crates/dunepond-broker/src/discovery/tests/mod.rs
@@ -1,11 +1,11 @@
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 
 use calloop::EventLoop;
 
 use super::*;
 use crate::iteration::Iteration;
-use crate::tests::{MAX_TURN_BYTES, MAX_WAIT, NOW, host_settings};
+use crate::tests::{LoopParts, MAX_TURN_BYTES, MAX_WAIT, NOW, host_settings, peer_listener};
 
 /// Length of the white space behind the list; all of it fits into one buffer.
 const LIST_PADDING_BYTES: usize = 60_000;
@@ -22,10 +22,8 @@
 
 impl Fixture {
     fn new() -> Self {
-        let poller: EventLoop<'static, Iteration> = EventLoop::try_new().unwrap();
-        let (pool, unfinished_turns, mut timers) =
-            (Pool::default(), UnfinishedTurns::default(), Timers::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let LoopParts { poller, pool, mut timers, unfinished_turns } = LoopParts::new();
+        let listener = peer_listener();
         let address = listener.local_addr().unwrap();
         let mut discovery =
             DiscoveryClient::new(poller.handle(), &pool, address, &host_settings(), &unfinished_turns);
--- a/crates/dunepond-broker/src/downstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/downstream/tests/mod.rs
@@ -12,7 +12,7 @@
 use super::*;
 use crate::clock::Timers;
 use crate::iteration::Iteration;
-use crate::tests::{MAX_WAIT, NOW, host_settings};
+use crate::tests::{LoopParts, MAX_WAIT, NOW, host_settings};
 
 /// Number of requests that a client sends at once.
 const REQUESTS: usize = 10 * MAX_REQUESTS_PER_TURN;
@@ -39,10 +39,9 @@
     }
 
     fn with_max_connections(max_connections: usize) -> Self {
-        let poller = EventLoop::try_new().unwrap();
+        let LoopParts { poller, pool, timers, unfinished_turns } = LoopParts::new();
         let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
-        let (pool, unfinished_turns) = (Pool::default(), UnfinishedTurns::default());
         let mut downstream = Downstream::new(
             poller.handle(),
             &pool,
@@ -54,7 +53,7 @@
         )
         .unwrap();
         downstream.has_endpoints = true;
-        Self { downstream, timers: Timers::default(), unfinished_turns, address, _poller: poller }
+        Self { downstream, timers, unfinished_turns, address, _poller: poller }
     }
 
     /// Connects a client that sends `bytes`; returns the client and the index of its connection.
--- a/crates/dunepond-broker/src/prefilter_connections/tests/mod.rs
+++ b/crates/dunepond-broker/src/prefilter_connections/tests/mod.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::iteration::Iteration;
-use crate::tests::{MAX_TURN_BYTES, MAX_WAIT, NOW, host_settings};
+use crate::tests::{LoopParts, MAX_TURN_BYTES, MAX_WAIT, NOW, host_settings, peer_listener};
 
 const NODE: NodeId = 0;
 /// Number of requests; their answers are several times as long as what is read in a turn.
@@ -33,13 +33,11 @@
 
 impl Fixture {
     fn new() -> Self {
-        let poller = EventLoop::try_new().unwrap();
-        let (pool, unfinished_turns) = (Pool::default(), UnfinishedTurns::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
+        let LoopParts { poller, pool, timers, unfinished_turns } = LoopParts::new();
+        let listener = peer_listener();
         let settings = Rc::new(host_settings());
         let connections = PrefilterConnections::new(poller.handle(), &pool, settings, 1, &unfinished_turns);
-        Self { connections, pool, timers: Timers::default(), unfinished_turns, listener, _poller: poller }
+        Self { connections, pool, timers, unfinished_turns, listener, _poller: poller }
     }
 
     /// Sends requests with these numbers.
--- a/crates/dunepond-broker/src/upstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/upstream/tests/mod.rs
@@ -9,7 +9,7 @@
 use crate::clock::Timers;
 use crate::frames::encode_frame;
 use crate::iteration::Iteration;
-use crate::tests::{MAX_TURN_BYTES, MAX_WAIT, NOW, host_settings};
+use crate::tests::{LoopParts, MAX_TURN_BYTES, MAX_WAIT, NOW, host_settings, peer_listener};
 
 const NODE: NodeId = 0;
 /// Number of attempts at a time; their answers are several times as long as what is read in a turn.
@@ -29,13 +29,10 @@
 
 impl Fixture {
     fn new() -> Self {
-        let poller = EventLoop::try_new().unwrap();
-        let (pool, unfinished_turns) = (Pool::default(), UnfinishedTurns::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
+        let LoopParts { poller, pool, mut timers, unfinished_turns } = LoopParts::new();
+        let listener = peer_listener();
         let mut upstream =
             Upstream::new(poller.handle(), &pool, Rc::new(host_settings()), 8, &unfinished_turns);
-        let mut timers = Timers::default();
         let endpoint = EndpointInfo {
             name: "s-0".to_string(),
             address: Some(listener.local_addr().unwrap()),
