Membership: the ids of liveness checks begin at a random number, as requests' do

Cause: they were the count of checks sent, from 1 in each process. A response carries no token of the asker, only the id, so a recorded response to check N of an earlier run fitted check N of this one: in a fleet with a key, who has recorded one and sits at the peer's address could keep a dead peer alive. The requests' ids begin at a random number for that reason; both are sequences of `RequestIds` now. Found by reading, for the table of ids; no attack was played.

Golden files are as they were.

--- a/crates/dunepond-membership/src/client.rs
+++ b/crates/dunepond-membership/src/client.rs
@@ -11,6 +11,7 @@
 use crate::http::{CONTENT_TYPE, MAX_HEAD_BYTES, MESSAGE_OVERHEAD_BYTES};
 use crate::messages::{Envelope, Message, MessageHeader, MessageType};
 use crate::refusal::RefusalReason;
+use crate::request_ids::RequestIds;
 use crate::request_kind::RequestKind;
 use crate::version::VersionRange;
 use bytes::Bytes;
@@ -24,15 +25,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 /// Fraction of the idle timeout after which this broker closes an idle pooled connection, so that it does so before the
 /// peer, which waits for the whole timeout.
 const POOL_IDLE_RATIO: f64 = 0.5;
-/// Bit in a request id that distinguishes the ids of liveness checks from those of the callers' requests.
-const LIVENESS_ID_BIT: u64 = 1 << 63;
 
 /// A request that [`Peers::request`](crate::Peers::request) accepted, or a liveness check.
 pub(crate) struct OutboundRequest {
@@ -95,10 +93,11 @@
     context: Rc<Context>,
     http: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
     peers: RefCell<BTreeMap<String, PeerConnections>>,
+    liveness_ids: RequestIds,
 }
 
 impl Client {
-    pub fn new(context: Rc<Context>) -> Client {
+    pub fn new(context: Rc<Context>, liveness_ids: RequestIds) -> Client {
         let timing = &context.options.timing;
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -110,7 +109,7 @@
             .pool_max_idle_per_host(context.options.limits.max_connections_per_peer)
             .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
-        Client { context, http, peers: RefCell::default() }
+        Client { context, http, peers: RefCell::default(), liveness_ids }
     }
 
     /// Sends the request in a separate task, which adds exactly one outcome to the event queue.
@@ -147,7 +146,7 @@
         let client = self.clone();
         let counters = &self.context.shared.counters;
         increment(&counters.liveness_checks_sent);
-        let id = counters.liveness_checks_sent.load(Relaxed) | LIVENESS_ID_BIT;
+        let id = self.liveness_ids.next();
         tokio::task::spawn_local(async move {
             let timeout = Duration::from_secs_f64(check.timeout_seconds);
             let request = OutboundRequest {
--- a/crates/dunepond-membership/src/event_loop.rs
+++ b/crates/dunepond-membership/src/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::counters::increment;
 use crate::event::Event;
 use crate::options::MembershipOptions;
+use crate::request_ids::RequestIds;
 use crate::server;
 use crate::shared::Shared;
 use crate::sockets::BoundSockets;
@@ -33,12 +34,15 @@
     pub requests: mpsc::Receiver<OutboundRequest>,
     pub events: Sender<Event>,
     pub stopped: watch::Receiver<bool>,
+    /// Ids of the liveness checks.
+    pub liveness_ids: RequestIds,
 }
 
 /// Runs the event loop until [`crate::Peers::stop`] is called or the handle is dropped, and then notifies the members
 /// that this broker leaves.
 pub(crate) async fn run(event_loop: EventLoop) {
-    let EventLoop { sockets, options, core, shared, mut requests, events, mut stopped } = event_loop;
+    let EventLoop { sockets, options, core, shared, mut requests, events, mut stopped, liveness_ids } =
+        event_loop;
     let registered =
         TcpListener::from_std(sockets.tcp).and_then(|tcp| Ok((tcp, UdpSocket::from_std(sockets.udp)?)));
     let (tcp, udp) = match registered {
@@ -49,7 +53,7 @@
     };
     let mut buffer = vec![0; options.limits.max_datagram_bytes + 1];
     let context = Rc::new(Context::new(options, core, shared, events, udp));
-    let client = Rc::new(Client::new(context.clone()));
+    let client = Rc::new(Client::new(context.clone(), liveness_ids));
     // This channel is unbounded, but its length is limited, since at most one liveness check of each suspected member
     // is in flight.
     let (outcomes, mut liveness_outcomes) = mpsc::unbounded_channel();
--- a/crates/dunepond-membership/src/handle.rs
+++ b/crates/dunepond-membership/src/handle.rs
@@ -10,21 +10,19 @@
 use crate::identity::Peer;
 use crate::options::MembershipOptions;
 use crate::refusal::RefusalReason;
+use crate::request_ids::RequestIds;
 use crate::request_kind::RequestKind;
 use crate::shared::Shared;
 use crate::sockets::{BoundSockets, bind};
 use crossbeam_channel::Receiver;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 
 const THREAD_NAME: &str = "peers";
-/// Number of bits by which the random first request id is shifted right. Ids thus start in the lowest quarter of the
-/// range of `u64`, so that they never wrap.
-const FIRST_ID_SHIFT: u32 = 2;
 
 /// Handle of a running membership. All methods except [`Peers::stop`] return without blocking.
 pub struct Peers {
@@ -32,7 +30,7 @@
     requests: mpsc::Sender<OutboundRequest>,
     stop: watch::Sender<bool>,
     thread: Option<JoinHandle<()>>,
-    next_request_id: AtomicU64,
+    request_ids: RequestIds,
     local_addr: SocketAddr,
     max_request_timeout_seconds: f64,
 }
@@ -66,18 +64,16 @@
         requests: accepted_requests,
         events,
         stopped,
+        liveness_ids: RequestIds::for_liveness_checks()?,
     };
     let main = move || tokio::task::LocalSet::new().block_on(&runtime, run(event_loop));
     let thread = std::thread::Builder::new().name(THREAD_NAME.into()).spawn(main).map_err(thread_error)?;
-    // The first id is random, so that a recorded response to an earlier incarnation does not match a request of this
-    // one.
-    let first_id = u64::from_le_bytes(random_bytes()?) >> FIRST_ID_SHIFT;
     let peers = Peers {
         shared,
         requests,
         stop,
         thread: Some(thread),
-        next_request_id: AtomicU64::new(first_id),
+        request_ids: RequestIds::for_requests()?,
         local_addr,
         max_request_timeout_seconds,
     };
@@ -142,7 +138,7 @@
             self.shared.requests_in_flight.fetch_sub(1, Relaxed);
             return Err(PeerError::Busy { to, limit: limits.max_requests });
         }
-        let id = self.next_request_id.fetch_add(1, Relaxed);
+        let id = self.request_ids.next();
         // A timeout of NaN counts as zero.
         let timeout_seconds =
             if timeout_seconds > 0.0 { timeout_seconds.min(self.max_request_timeout_seconds) } else { 0.0 };
--- a/crates/dunepond-membership/src/lib.rs
+++ b/crates/dunepond-membership/src/lib.rs
@@ -32,6 +32,7 @@
 mod rate_limit;
 mod refusal;
 mod replay;
+mod request_ids;
 mod request_kind;
 mod sender_auth;
 mod server;
