Spill files: their mark is a random number of the process

It was the process id and the wall clock, which can both return in a container whose clock is set back; files left by an earlier process of the same mark would not be removed. By reading: no test shows it, as none can set the clock.

--- a/crates/dunepond-broker/src/event_loop/setup.rs
+++ b/crates/dunepond-broker/src/event_loop/setup.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use calloop::signals::{Signal, Signals};
 use dunepond_background::Pool as JobPool;
@@ -17,6 +17,7 @@
 
 use crate::downstream;
 use crate::iteration::{EventLoopHandle, Iteration, LoopEvent, event_channel};
+use crate::run_id::RunId;
 
 /// Interval between attempts to bind an address that is still in use.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -81,9 +82,8 @@
         Some(folder) => folder,
         None => {
             // The mark is unique to this process, so that files left by an earlier process are recognised.
-            let since = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos());
-            let mark = format!("{}-{since:x}", std::process::id());
-            Arc::new(DiskFolder::open(&config.folder, &mark).map_err(|e| folder_error(&e))?)
+            let run_id = RunId::random().map_err(|e| folder_error(&e))?;
+            Arc::new(DiskFolder::open(&config.folder, &run_id.to_string()).map_err(|e| folder_error(&e))?)
         }
     };
     let sender = event_channel(handle, LoopEvent::DiskDone).map_err(|e| folder_error(&e))?;
