Shutdown soak: the threads are read before the times of a stop are taken

Cause, found by reading the change again: read the threads' states between taking the time of a SIGSTOP or SIGCONT and sending it. On a busy machine that takes long, so the recorded stop could lie before the real one, and a request or an attempt that the stop excuses would count as a violation.

--- a/crates/dunepond-testkit/src/shutdown/mod.rs
+++ b/crates/dunepond-testkit/src/shutdown/mod.rs
@@ -97,6 +97,8 @@
     let _ = endpoint.signalled_at.set(signalled_at);
     for (after, signal) in signal_schedule(plan, endpoint.kill_after) {
         sleep_until(signalled_at + after);
+        // Read before the times of a stop are taken, since reading takes long on a busy machine.
+        let threads = ThreadState::read_all(broker.pid());
         match signal {
             Signal::SIGSTOP => stopped_at = Some(Instant::now()),
             Signal::SIGCONT => {
@@ -104,7 +106,6 @@
             }
             _ => {}
         }
-        let threads = ThreadState::read_all(broker.pid());
         sent_signals.push(SentSignal { after: signalled_at.elapsed(), signal, threads });
         send_signal(broker, signal);
     }
