--- a/crates/dunepond-broker/tests/memory_limit.rs
+++ b/crates/dunepond-broker/tests/memory_limit.rs
@@ -46,7 +46,7 @@
 #[test]
 fn responses_that_clients_leave_unread_stay_within_the_memory_limit() {
     let deployment = start(&NodeBehavior::Answers("v".repeat(LARGE_BYTES).into()));
-    let watch = ProcessWatch::start(deployment.broker.pid());
+    let watch = deployment.watch();
     let shape = QueryShape { query_class: "find", segments: SEGMENTS, text_bytes: 2, budget: "2.9" };
     let mut clients = Vec::new();
     for number in 0..UNREAD_CLIENTS {
--- a/crates/dunepond-testkit/src/experiments/hostile_clients.rs
+++ b/crates/dunepond-testkit/src/experiments/hostile_clients.rs
@@ -25,6 +25,13 @@
         let name = |value: &str| format!("({}) {}: {value}", scenario.picture, scenario.name);
         let memory = outcome.peak.memory_bytes as f64 / MIB;
         report.add_bounded_value(name("peak memory"), memory, LEAST_MEMORY_MIB as f64, "MiB");
+        let charged = outcome.peak.charged_bytes as f64 / MIB;
+        report.add_bounded_value(
+            name("peak memory with the system's"),
+            charged,
+            LEAST_MEMORY_MIB as f64,
+            "MiB",
+        );
         let descriptors = outcome.peak.descriptors as f64;
         report.add_bounded_value(name("peak descriptors"), descriptors, DESCRIPTORS as f64, "");
         let unanswered = outcome.sound.unanswered_in_time() as f64;
--- a/crates/dunepond-testkit/src/hostile_clients/mod.rs
+++ b/crates/dunepond-testkit/src/hostile_clients/mod.rs
@@ -7,6 +7,7 @@
 mod process_watch;
 mod requests;
 mod scenarios;
+mod socket_memory;
 mod sound_client;
 
 use std::net::SocketAddr;
@@ -116,6 +117,17 @@
     }
 }
 
+impl Deployment {
+    /// Begins to watch the broker's process.
+    ///
+    /// # Panics
+    /// If the operating system does not tell what its sockets hold.
+    pub fn watch(&self) -> ProcessWatch {
+        let ports = std::iter::once(self.broker.address).chain(self.search_api).map(|address| address.port());
+        ProcessWatch::start(self.broker.pid(), &ports.collect::<Vec<_>>())
+    }
+}
+
 /// Returns the longest stall of the event loop that a log names, in seconds.
 fn longest_stall_seconds(log: &str) -> f64 {
     let stalls = log.lines().filter_map(|line| line.split_once("event loop stalled for ")?.1.split_once(' '));
@@ -142,7 +154,7 @@
         HostilePort::Queries => deployment.broker.address,
         HostilePort::SearchApi => deployment.search_api.unwrap_or(deployment.broker.address),
     };
-    let watch = ProcessWatch::start(pid);
+    let watch = deployment.watch();
     let share = scenario.cpu_share.map(|share| CpuShare::limit(pid, share));
     let sound = SoundClients::start(deployment.broker.address, "find", SOUND_BUDGET, SOUND_SEGMENTS);
     thread::sleep(QUIET_TIME);
--- a/crates/dunepond-testkit/src/hostile_clients/scenarios.rs
+++ b/crates/dunepond-testkit/src/hostile_clients/scenarios.rs
@@ -23,10 +23,17 @@
 /// Number of hits of a node's answer to a search, as many as a search asks for unless it says otherwise; and their length.
 const HITS: usize = 10;
 const HIT_BYTES: usize = 5_000;
+/// Length of the longest id of a request that is accepted, in characters.
+const MAX_ID_BYTES: usize = 200;
+/// Number of clients of each kind in a mixed crowd.
+const MIXED_GROUP: usize = 100;
 /// A search API with the limits that the documentation of the operator's file shows.
 const SEARCH_API: &str = "search listen=\"127.0.0.1:0\"\n";
 const BODIES: &str = "bodies {\n longest \"64MiB\"\n memory one=\"1MiB\" all=\"8MiB\"\n}\n";
 const PREFILTER: &str = "phases least-segments=2 share=0.25 fresh=0 known=20000 audits=0.01\n";
+const ALL_FEATURES: &str = "bodies {\n longest \"64MiB\"\n memory one=\"1MiB\" all=\"8MiB\"\n}\n\
+    phases least-segments=2 share=0.25 fresh=0 known=20000 audits=0.01\n\
+    search listen=\"127.0.0.1:0\"\n";
 
 /// What hostile clients do at a deployment.
 pub struct Scenario {
@@ -221,10 +228,84 @@
             .with_hits(),
         Scenario::new("crowd-prefilter-large", "a", crowd(whole, read, large_query(6)))
             .with_operator_file(PREFILTER),
+        Scenario::new("crowd-answers-in-part", "a", crowd(whole, read, queries_with_long_ids(6)))
+            .with_node_behavior(NodeBehavior::AnswersInPart("v".repeat(LARGE_VALUE_BYTES).into()))
+            .without_in_flight_limit(),
+        Scenario::new("crowd-nodes-read-nothing", "a", crowd(whole, read, large_query(6)))
+            .with_node_behavior(NodeBehavior::ReadsNothing)
+            .without_in_flight_limit(),
+        Scenario::new("crowd-long-ids", "a", crowd(whole, read, queries_with_long_ids(6)))
+            .without_in_flight_limit(),
+        Scenario::new("crowd-returning-unread", "a", vec![returning(CROWD, unread, large_query(6))])
+            .with_large_answers(),
+        Scenario::new("crowd-returning-half", "a", vec![returning(CROWD, read, half_of(large_query(1)))]),
+        Scenario::new("crowd-mixed", "a", mixed_crowd()).with_large_answers().with_hanging_nodes(2),
+        Scenario::new("crowd-mixed-small-share", "a", mixed_crowd())
+            .with_large_answers()
+            .with_hanging_nodes(2)
+            .with_small_cpu_share(),
+        Scenario::new("crowd-mixed-all-features", "a", mixed_crowd_with_uploads())
+            .with_operator_file(ALL_FEATURES)
+            .with_large_answers()
+            .with_hanging_nodes(2)
+            .without_in_flight_limit(),
+        Scenario::new("crowd-streamed-mixed-small-share", "a", mixed_crowd_with_uploads())
+            .with_operator_file(BODIES)
+            .with_hanging_nodes(2)
+            .with_small_cpu_share(),
     ]
 }
 
+/// Clients that each leave soon after their request, and come again.
+fn returning(count: usize, answers: Answers, request: MakeRequest) -> HostileClients {
+    HostileClients { count, pace: Pace::LeavesAfter(PIECE_PAUSE), answers, request }
+}
+
+/// The first halves of these requests.
+fn half_of(request: MakeRequest) -> MakeRequest {
+    Arc::new(move |number| {
+        let mut bytes = request(number);
+        bytes.truncate(bytes.len() / 2);
+        bytes
+    })
+}
+
+/// Queries with the longest ids that are accepted.
+fn queries_with_long_ids(segments: usize) -> MakeRequest {
+    let shape = QueryShape { query_class: "find", segments, text_bytes: 2, budget: "2.0" };
+    Arc::new(move |number| query(&shape, &format!("{number:0>MAX_ID_BYTES$}")).into_bytes())
+}
+
+/// Clients of all kinds at once: slow ones, such that stop, such that read nothing, and such that come and go.
+fn mixed_crowd() -> Vec<HostileClients> {
+    let slowly = Pace::Slowly { bytes: 2_000, pause: PIECE_PAUSE };
+    let group = |pace, answers, request| HostileClients { count: MIXED_GROUP, pace, answers, request };
+    let whole = Pace::Bursts(PIECE_PAUSE);
+    vec![
+        group(slowly, Answers::Read, large_query(1)),
+        group(Pace::StopsAfter(LARGE_TEXT_BYTES / 2), Answers::Read, large_query(1)),
+        group(slowly, Answers::Read, always(requests::head_of_short_fields(5_000))),
+        group(whole, Answers::LeftUnread, large_query(6)),
+        group(whole, Answers::Read, queries_with_long_ids(6)),
+        returning(MIXED_GROUP, Answers::LeftUnread, large_query(6)),
+        group(Pace::FullSpeed, Answers::LeftUnread, streamed_request()),
+    ]
+}
+
+/// A mixed crowd, with clients that stop half way through a streamed body.
+fn mixed_crowd_with_uploads() -> Vec<HostileClients> {
+    let pace = Pace::StopsAfter(500_000);
+    let uploads =
+        HostileClients { count: MIXED_GROUP, pace, answers: Answers::Read, request: streamed_request() };
+    mixed_crowd().into_iter().chain([uploads]).collect()
+}
+
 impl Scenario {
+    fn with_node_behavior(mut self, behavior: NodeBehavior) -> Self {
+        self.node_behavior = behavior;
+        self
+    }
+
     fn with_hits(mut self) -> Self {
         self.node_behavior = search_hits();
         self
