Upstream: the ids of ended attempts are stored as hashes, whatever their length

Callers saw brokers killed for their memory after 20 to 35 s. One cause: each connection to a node stores the ids of the 512 attempts that ended last, as clients chose them, up to 200 characters and more for the segment; with 250 connections that is over 30 MB, which no share of the limit counts. It grows with the number of ended attempts, so that it shows late.

Change: the hashes of the ids are stored, 8 bytes each, with a random key for each connection; a module of its own. Two ids with one hash would have an unknown end ignored in place of closing the connection.

--- a/crates/dunepond-broker/src/upstream/connection.rs
+++ b/crates/dunepond-broker/src/upstream/connection.rs
@@ -9,7 +9,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{debug, info};
 
-use super::{NodeConnection, Upstream};
+use super::{FinishedIds, NodeConnection, Upstream};
 use crate::buffers::WriteQueue;
 use crate::clock::{TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
@@ -87,7 +87,7 @@
             uses_search_api,
             responses: ResponseReader::default(),
             reusable_at: f64::MIN,
-            finished: VecDeque::new(),
+            finished: FinishedIds::default(),
             repeats_left: 0,
             turn_unfinished: false,
             write_failure: None,
--- a/crates/dunepond-broker/src/upstream/mod.rs
+++ b/crates/dunepond-broker/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod cancel;
 mod connection;
 mod endpoints;
+mod finished_ids;
 mod framing;
 mod ownership_check;
 mod request;
@@ -32,11 +33,7 @@
 use crate::iteration::EventLoopHandle;
 use crate::read_turn::UnfinishedTurns;
 pub use connection::open;
-
-/// Maximum number of finished attempts whose ids a connection stores, which bounds the memory for them. The ids are
-/// needed because a node may report the end of an attempt twice. Cancelled attempts are also stored in a list of their
-/// own until the node reports their end.
-const MAX_FINISHED_IDS: usize = 512;
+use finished_ids::FinishedIds;
 
 /// Time after a search API response for which its connection gets no attempt. A response does not name its request, so
 /// what a node sends behind a response can be told from the next response only while no request is outstanding.
@@ -117,9 +114,9 @@
     responses: ResponseReader,
     /// From when on the connection may get attempts, in Unix seconds.
     reusable_at: f64,
-    /// Ids of the attempts that most recently ended or were cancelled on this connection, at most
-    /// `MAX_FINISHED_IDS`.
-    finished: VecDeque<Rc<str>>,
+    /// Ids of the attempts that most recently ended or were cancelled on this connection. Cancelled attempts are also in a list
+    /// of their own until the node reports their end.
+    finished: FinishedIds,
     /// How many ends of finished attempts the node may still repeat: it may repeat each once.
     repeats_left: usize,
     /// Whether the last turn ended before all bytes that had arrived were read.
@@ -291,18 +288,15 @@
     /// Removes the attempt at `position` from the outstanding attempts, and stores its id as finished.
     fn finish_request(&mut self, position: usize) -> Option<OutstandingRequest> {
         let out = self.outstanding.remove(position)?;
-        self.finished.push_back(out.request.id.clone());
+        self.finished.add(&out.request.id);
         self.repeats_left += 1;
-        if self.finished.len() > MAX_FINISHED_IDS {
-            self.finished.pop_front();
-        }
         Some(out)
     }
 
     /// Returns whether an attempt with this id is outstanding on the connection, or is known to have ended on it.
     fn has_seen_attempt(&self, id: &str) -> bool {
-        let has_ended = self.cancelled.iter().chain(&self.finished).any(|ended| **ended == *id);
-        has_ended || self.outstanding.iter().any(|o| *o.request.id == *id)
+        let is_cancelled = self.cancelled.iter().any(|cancelled| **cancelled == *id);
+        is_cancelled || self.finished.contains(id) || self.outstanding.iter().any(|o| *o.request.id == *id)
     }
 
     /// Returns whether the connection is established and has no outstanding attempt.
--- a/crates/dunepond-broker/src/upstream/response.rs
+++ b/crates/dunepond-broker/src/upstream/response.rs
@@ -240,7 +240,7 @@
             connection.cancelled.swap_remove(position);
             return Ok(());
         }
-        if !connection.finished.iter().any(|finished| **finished == *attempt) {
+        if !connection.finished.contains(attempt) {
             return Err(self.malformed(id, "an E frame for an attempt that is not outstanding"));
         }
         let Some(repeats_left) = connection.repeats_left.checked_sub(1) else {
