Clients: looking for a connection to evict is bounded, and a pause in accepting ends once

A full broker read every connection for each new one to find one to evict, and read all that had sent something in the same turn; each connection that closed in a pause set a timer of its own, and each timer did it all again.

Change: at most 16 connections are read to find one; those that have sent something get their turn like all others. A pause has one timer, kept if it ends earlier.

Both tests failed before: all 64 connections were read, 64 timers set.

--- a/crates/dunepond-broker/src/downstream/accept.rs
+++ b/crates/dunepond-broker/src/downstream/accept.rs
@@ -13,7 +13,7 @@
 
 use super::{ArrivalTimes, ClientConnection, Downstream, Listener, RequestPhase};
 use crate::buffers::WriteQueue;
-use crate::clock::{TimerEvent, Timers};
+use crate::clock::{self, TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::iteration::{LoopEvent, Port, watch};
 use crate::read_turn::UnfinishedConnection;
@@ -161,17 +161,32 @@
                 self.listeners.iter().all(|entry| self.handle.disable(&entry.token).is_ok());
         }
         if let Some(until) = until {
-            timers.schedule(until, TimerEvent::ResumeAccept);
+            self.schedule_resume(until, timers);
         }
     }
 
+    /// Schedules the end of a pause at `at`, unless it ends earlier already.
+    fn schedule_resume(&mut self, at: f64, timers: &mut Timers) {
+        if self.resume_timer.is_some_and(|timer| clock::is_due(timer, at)) {
+            return;
+        }
+        timers.cancel(self.resume_timer.take());
+        self.resume_timer = Some(timers.schedule(at, TimerEvent::ResumeAccept));
+    }
+
     /// If accepting connections is paused, schedules a timer that is due at once and resumes accepting.
-    pub(super) fn schedule_resume_accepting(&self, timers: &mut Timers) {
+    pub(super) fn schedule_resume_accepting(&mut self, timers: &mut Timers) {
         if self.accepting_paused {
-            timers.schedule(0.0, TimerEvent::ResumeAccept);
+            self.schedule_resume(0.0, timers);
         }
     }
 
+    /// Handles the timer that ends a pause: watches the listeners again.
+    pub fn on_resume_timer(&mut self) {
+        self.resume_timer = None;
+        self.resume_accepting();
+    }
+
     /// Watches the listeners again after a pause.
     pub fn resume_accepting(&mut self) {
         if self.accepting_paused {
--- a/crates/dunepond-broker/src/downstream/closing.rs
+++ b/crates/dunepond-broker/src/downstream/closing.rs
@@ -17,11 +17,14 @@
 use crate::clock::{TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::iteration::Port;
+use crate::read_turn::UnfinishedConnection;
 
 /// A connection whose request is still incomplete this long after its request timer has started is evicted before idle
 /// connections, whose clients have sent a request before. Several round trips long, so that a new client is not evicted
 /// before its first request has arrived.
 const EVICTABLE_AFTER_SECONDS: f64 = 0.25;
+/// Maximum number of connections that are read to find one to evict, which bounds the time for that.
+pub(super) const MAX_EVICTION_READS: usize = 16;
 /// How long a client may take to close its side after the broker has shut down its own side and the client has received
 /// all of its last response: several round trips.
 const LINGER_SECONDS: f64 = 1.0;
@@ -128,14 +131,23 @@
         timer.is_some() && self.connections.get(id).is_some_and(|client| client.timer == timer)
     }
 
-    /// Reads from a connection once more, even without a readiness event, before it is closed.
+    /// Reads from a connection once more, even without a readiness event, before it is closed. A connection on which bytes have
+    /// arrived is queued to be read.
     pub(super) fn final_read(&mut self, now: f64, id: usize) -> FinalRead {
+        let read = self.read_before_close(now, id);
+        if matches!(read, FinalRead::ReceivedData) {
+            self.queue_read(id);
+        }
+        read
+    }
+
+    /// Reads from a connection once more before it is closed.
+    fn read_before_close(&mut self, now: f64, id: usize) -> FinalRead {
         let received_at = self.received_at(now);
         let Some(client) = self.connections.get_mut(id) else {
             return FinalRead::Disconnected(ConnectionEnd::Closed);
         };
         if !client.read_ahead.is_empty() {
-            self.queue_read(id);
             return FinalRead::ReceivedData;
         }
         let mut input = client.input.take().unwrap_or_else(|| self.pool.acquire());
@@ -154,7 +166,6 @@
             Ok(0) => FinalRead::Disconnected(ConnectionEnd::Closed),
             Ok(_) => {
                 client.readable = true;
-                self.queue_read(id);
                 FinalRead::ReceivedData
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => FinalRead::NoData,
@@ -220,10 +231,10 @@
     /// Returns the connection to evict: never one whose client is waiting for a response or has sent bytes that are not
     /// read yet. A connection whose request timer has run for less than `EVICTABLE_AFTER_SECONDS` is the last choice,
     /// unless connections without a complete request are more than half of `max_connections`. Returns `None` if there
-    /// is no connection to choose from, or if each of them turns out to have sent bytes.
+    /// is no connection to choose from, or if those that were looked at turn out to have sent bytes; these get a turn each.
     pub(super) fn eviction_candidate(&mut self, now: f64) -> Option<usize> {
         let evictable_until = now + REQUEST_TIMEOUT_SECONDS - EVICTABLE_AFTER_SECONDS;
-        loop {
+        for _ in 0..MAX_EVICTION_READS {
             let too_many_new = 2 * self.awaiting_request.len() > self.max_connections;
             let is_evictable = |timer: &TimerKey| too_many_new || timer.is_before(evictable_until);
             let evictable = self.awaiting_request.iter().filter(|(timer, _)| is_evictable(timer));
@@ -232,13 +243,16 @@
             let Some(id) = in_order.map(|(_, id)| *id).find(|id| !self.is_queued(*id)) else {
                 break;
             };
-            if !matches!(self.final_read(now, id), FinalRead::ReceivedData) {
+            if !matches!(self.read_before_close(now, id), FinalRead::ReceivedData) {
                 return Some(id);
             }
+            self.unfinished_turns.add(UnfinishedConnection::Client(id));
         }
-        // Every candidate is queued to be read. A candidate whose client has disconnected may be evicted nevertheless.
+        // A candidate that is queued to be read may be evicted nevertheless if its client has disconnected.
         let all = self.awaiting_request.values().chain(self.lingering.values()).chain(self.idle.values());
-        let candidates: Vec<_> = all.copied().collect();
-        candidates.into_iter().find(|id| matches!(self.final_read(now, *id), FinalRead::Disconnected(_)))
+        let candidates: Vec<_> = all.copied().take(MAX_EVICTION_READS).collect();
+        candidates
+            .into_iter()
+            .find(|id| matches!(self.read_before_close(now, *id), FinalRead::Disconnected(_)))
     }
 }
--- a/crates/dunepond-broker/src/downstream/mod.rs
+++ b/crates/dunepond-broker/src/downstream/mod.rs
@@ -148,6 +148,8 @@
     listeners: Vec<Listener>,
     /// Whether accepting connections is paused.
     accepting_paused: bool,
+    /// The timer that ends the pause; `None` if none is set.
+    resume_timer: Option<TimerKey>,
     /// The search API; `None` if it is not enabled.
     pub search_api: Option<Rc<search_api::SearchApi>>,
     /// Connections that have not sent a complete request yet, by timer, so that the longest waiting one comes first.
@@ -212,6 +214,7 @@
             settings,
             listeners: Vec::new(),
             accepting_paused: false,
+            resume_timer: None,
             search_api: None,
             awaiting_request: BTreeMap::new(),
             idle: BTreeMap::new(),
--- a/crates/dunepond-broker/src/downstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/downstream/tests/mod.rs
@@ -9,8 +9,9 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::accept::{LISTEN_BACKLOG, MAX_ACCEPTS_PER_ITERATION};
+use super::closing::MAX_EVICTION_READS;
 use super::*;
-use crate::clock::Timers;
+use crate::clock::{TimerEvent, Timers};
 use crate::iteration::Iteration;
 use crate::tests::{LoopParts, MAX_WAIT, NOW, host_settings};
 
@@ -18,6 +19,8 @@
 const REQUESTS: usize = 10 * MAX_REQUESTS_PER_TURN;
 /// More connections than a backlog holds.
 const MAX_CONNECTIONS: usize = 2_048;
+/// Number of clients that have sent half a request.
+const SENDING_CLIENTS: usize = 64;
 const FLOODING_THREADS: usize = 4;
 /// Longest time that connections are opened for, if the broker accepts them without an end.
 const MAX_FLOOD: Duration = Duration::from_secs(2);
@@ -167,3 +170,33 @@
     threads.into_iter().for_each(|thread| thread.join().unwrap());
     assert!(fixture.downstream.count() <= LISTEN_BACKLOG + MAX_ACCEPTS_PER_ITERATION);
 }
+
+/// A full broker that looked for a connection to evict read all of them for each one that came, and answered nobody meanwhile.
+#[test]
+fn looking_for_a_connection_to_evict_reads_few() {
+    let mut fixture = Fixture::with_max_connections(SENDING_CLIENTS);
+    let half = query(0);
+    let half = &half.as_bytes()[..half.len() / 2];
+    let _clients: Vec<_> = (0..SENDING_CLIENTS).map(|_| fixture.connect(half)).collect();
+    while fixture.unfinished_turns.pop().is_some() {}
+    let _waiting = TcpStream::connect(fixture.address).unwrap();
+    let later = NOW + 1.0;
+    assert!(!fixture.downstream.accept(later, Port::Queries, &mut fixture.timers));
+    assert_eq!(fixture.downstream.count(), SENDING_CLIENTS);
+    let read = fixture.unfinished_turns.len();
+    assert!((1..=MAX_EVICTION_READS).contains(&read), "{read} connections were read");
+}
+
+/// Each connection that closed while accepting was paused set a timer, and each timer looked for connections to evict.
+#[test]
+fn pause_in_accepting_ends_once_however_many_connections_close() {
+    let mut fixture = Fixture::with_max_connections(SENDING_CLIENTS);
+    let clients: Vec<_> = (0..SENDING_CLIENTS).map(|_| fixture.connect(b"GET /").1).collect();
+    fixture.downstream.delay_accepting(NOW, NOW + 1.0, &mut fixture.timers);
+    for id in clients {
+        fixture.downstream.close(id, ConnectionEnd::Closed, &mut fixture.timers);
+    }
+    let pass = fixture.timers.begin_pass(NOW + 2.0);
+    let resumed = std::iter::from_fn(|| fixture.timers.pop_due(pass));
+    assert_eq!(resumed.filter(|event| matches!(event, TimerEvent::ResumeAccept)).count(), 1);
+}
--- a/crates/dunepond-broker/src/event_loop/mod.rs
+++ b/crates/dunepond-broker/src/event_loop/mod.rs
@@ -126,7 +126,7 @@
     /// Resumes accepting after a pause, and accepts the listeners' backlog at once, so that only the connections in
     /// the backlog count as having waited since the pause began, not those that come later.
     fn accept_backlog(&mut self) {
-        self.router_host.downstream.resume_accepting();
+        self.router_host.downstream.on_resume_timer();
         for port in Port::ALL {
             self.router_host.downstream.accept(self.router_host.now, port, &mut self.router_host.timers);
         }
