Memory: all buffers have shares of the limit, those of nodes too, and grow as they fill

Cause: each use of memory had a share of its own, or none, and nothing looked at their sum: buffers of connections to nodes (64 KiB each, whatever has arrived) had no share, uploads and rejected uploads gave none back, and a connection that lingers took a whole buffer to discard what arrives.

Buffers begin with 4 KiB and grow to 64. What nodes send has a pool of its own: a further answer begins only while half of it is free and else waits in the system; a begun one closes the connection that has waited the longest for its rest. Lingering connections share one buffer. 'memory counters' names the buffers by use and the connections closed for memory. Blocks from 32 KiB go back to the system.

--- a/crates/dunepond-broker/src/buffers.rs
+++ b/crates/dunepond-broker/src/buffers.rs
@@ -1,20 +1,22 @@
-//! Pooled buffers of one size, and the write queue of a connection.
+//! Pooled buffers that grow as they fill, and the write queue of a connection.
 
 mod write_queue;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io::{self, Read};
 use std::rc::Rc;
 
 pub use write_queue::WriteQueue;
 
-/// The size of a buffer. The longest frame, and the longest body that is not streamed, fit into one buffer.
+/// The size of the largest buffer. The longest frame, and the longest body that is not streamed, fit into one buffer.
 pub const BUFFER_BYTES: usize = 64 * 1024;
+/// The sizes of buffers in bytes. A full buffer is replaced by one of the next size.
+const SIZES: [usize; 3] = [4 * 1024, 16 * 1024, BUFFER_BYTES];
 /// Size from which the allocator takes a block from the system by itself.
 #[cfg(all(target_os = "linux", target_env = "gnu"))]
-const LARGE_BLOCK_BYTES: libc::c_int = 128 * 1024;
-/// Maximum number of free buffers that a pool keeps; the others are deallocated when they are returned after a burst.
-const MAX_FREE_BUFFERS: usize = 32;
+const LARGE_BLOCK_BYTES: libc::c_int = 32 * 1024;
+/// Maximum size in bytes of the free buffers that a pool keeps; the others are deallocated when they are returned after a burst.
+const MAX_FREE_BYTES: usize = 512 * 1024;
 
 /// Has the allocator use one arena for all threads, and return large blocks to the system as soon as they are freed, to keep
 /// the process within its memory limit: with an arena per thread, blocks that the disk threads allocate and the event loop
@@ -28,40 +30,121 @@
     }
 }
 
-/// A pool of buffers of one size; clones share their buffers.
-#[derive(Clone, Default)]
+/// What a pool and its clones share.
+#[derive(Default)]
+struct PoolState {
+    /// The free buffers of each size.
+    free: [Vec<Box<[u8]>>; SIZES.len()],
+    free_bytes: usize,
+    in_use_bytes: usize,
+    read_bytes: u64,
+}
+
+/// A pool of buffers, which limits nothing itself but tells how much is in use; clones share their buffers.
+#[derive(Clone)]
 pub struct Pool {
-    free: Rc<RefCell<Vec<Box<[u8]>>>>,
-    in_use: Rc<Cell<usize>>,
-    read_bytes: Rc<Cell<u64>>,
+    state: Rc<RefCell<PoolState>>,
+    limit_bytes: usize,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::with_limit(usize::MAX)
+    }
 }
 
 impl Pool {
-    /// Returns an empty buffer, which goes back to the pool when it is dropped.
+    /// Creates a pool whose buffers are to take `limit_bytes` at the most.
+    pub fn with_limit(limit_bytes: usize) -> Self {
+        Self { state: Rc::default(), limit_bytes }
+    }
+
+    /// Returns an empty buffer of the smallest size, which goes back to the pool when it is dropped.
     pub fn acquire(&self) -> Buffer {
-        let bytes = self.free.borrow_mut().pop();
-        let bytes = bytes.unwrap_or_else(|| vec![0; BUFFER_BYTES].into_boxed_slice());
-        self.in_use.set(self.in_use.get() + 1);
-        Buffer { bytes, start: 0, end: 0, pool: self.clone() }
+        Buffer { bytes: self.take(0), start: 0, end: 0, pool: self.clone() }
     }
 
-    /// Returns the number of buffers in use.
-    pub fn buffers_in_use(&self) -> usize {
-        self.in_use.get()
+    /// Returns a block of the size with this index.
+    fn take(&self, size: usize) -> Box<[u8]> {
+        let mut state = self.state.borrow_mut();
+        state.in_use_bytes += SIZES[size];
+        match state.free[size].pop() {
+            Some(bytes) => {
+                state.free_bytes -= bytes.len();
+                bytes
+            }
+            None => vec![0; SIZES[size]].into_boxed_slice(),
+        }
+    }
+
+    /// Takes back a block.
+    fn put_back(&self, bytes: Box<[u8]>) {
+        let mut state = self.state.borrow_mut();
+        state.in_use_bytes -= bytes.len();
+        if state.free_bytes + bytes.len() <= MAX_FREE_BYTES
+            && let Some(size) = SIZES.iter().position(|size| *size == bytes.len())
+        {
+            state.free_bytes += bytes.len();
+            state.free[size].push(bytes);
+        }
+    }
+
+    /// Whether buffers of `additional_bytes` more fit into this share of the limit (0 to 1).
+    pub fn has_room(&self, additional_bytes: usize, share: f64) -> bool {
+        (self.in_use_bytes() + additional_bytes) as f64 <= share * self.limit_bytes as f64
+    }
+
+    /// Returns the size of the buffers in use, in bytes.
+    pub fn in_use_bytes(&self) -> usize {
+        self.state.borrow().in_use_bytes
     }
 
     /// Returns how many bytes have been read from streams into the pool's buffers since the start.
     pub fn read_bytes(&self) -> u64 {
-        self.read_bytes.get()
+        self.state.borrow().read_bytes
     }
 
     /// Returns the memory of all buffers in bytes, including the free ones.
     pub fn allocated_bytes(&self) -> u64 {
-        ((self.in_use.get() + self.free.borrow().len()) * BUFFER_BYTES) as u64
+        let state = self.state.borrow();
+        (state.in_use_bytes + state.free_bytes) as u64
     }
 }
 
-/// A buffer for bytes that were read or wait to be written; goes back to its pool when it is dropped.
+/// The pools of a broker.
+#[derive(Clone, Default)]
+pub struct Pools {
+    /// For what clients send, until their request is complete.
+    pub clients: Pool,
+    /// For what nodes and discovery send, until a message is complete.
+    pub nodes: Pool,
+    /// For frames that wait to be written to nodes.
+    pub frames: Pool,
+}
+
+impl Pools {
+    /// Returns how many bytes have been read from streams since the start.
+    pub fn read_bytes(&self) -> u64 {
+        self.clients.read_bytes() + self.nodes.read_bytes()
+    }
+
+    /// Returns the memory of all buffers in bytes, including the free ones.
+    pub fn allocated_bytes(&self) -> u64 {
+        [&self.clients, &self.nodes, &self.frames].map(Pool::allocated_bytes).iter().sum()
+    }
+}
+
+/// Returns by how many bytes the next read into `buffer` increases the buffers in use: none if the buffer has room or has the
+/// largest size.
+pub fn bytes_for_next_read(buffer: Option<&Buffer>) -> usize {
+    match buffer {
+        None => SIZES[0],
+        Some(buffer) if buffer.end < buffer.bytes.len() || buffer.start > 0 => 0,
+        Some(buffer) => buffer.next_size().map_or(0, |size| SIZES[size] - buffer.bytes.len()),
+    }
+}
+
+/// A buffer for bytes that were read or wait to be written, which grows as it fills; goes back to its pool when it is dropped.
 pub struct Buffer {
     bytes: Box<[u8]>,
     start: usize,
@@ -71,11 +154,7 @@
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        self.pool.in_use.set(self.pool.in_use.get() - 1);
-        let mut free = self.pool.free.borrow_mut();
-        if free.len() < MAX_FREE_BUFFERS {
-            free.push(std::mem::take(&mut self.bytes));
-        }
+        self.pool.put_back(std::mem::take(&mut self.bytes));
     }
 }
 
@@ -103,9 +182,31 @@
         }
     }
 
+    /// Returns the memory of the buffer in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns the index of the next size; `None` if the buffer has the largest one.
+    fn next_size(&self) -> Option<usize> {
+        SIZES.iter().position(|size| *size > self.bytes.len())
+    }
+
+    /// Replaces the buffer by one of the next size; `false` if it has the largest one.
+    fn grow(&mut self) -> bool {
+        let Some(size) = self.next_size() else { return false };
+        let mut bytes = self.pool.take(size);
+        let length = self.end - self.start;
+        bytes[..length].copy_from_slice(&self.bytes[self.start..self.end]);
+        self.pool.put_back(std::mem::replace(&mut self.bytes, bytes));
+        (self.start, self.end) = (0, length);
+        true
+    }
+
     /// Appends as much of `bytes` as fits after the last byte; returns how many bytes were appended.
     pub fn append(&mut self, bytes: &[u8]) -> usize {
-        let count = bytes.len().min(BUFFER_BYTES - self.end);
+        while self.bytes.len() - self.end < bytes.len() && self.grow() {}
+        let count = bytes.len().min(self.bytes.len() - self.end);
         self.bytes[self.end..self.end + count].copy_from_slice(&bytes[..count]);
         self.end += count;
         count
@@ -119,13 +220,13 @@
     /// Reads from `stream` once, appends the bytes and returns their number. `Ok(0)` means the end of the stream,
     /// unless the buffer is full.
     pub fn read_from(&mut self, mut stream: impl Read) -> io::Result<usize> {
-        if self.end == BUFFER_BYTES {
+        if self.end == self.bytes.len() && (self.start > 0 || !self.grow()) {
             self.bytes.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
         }
         let count = stream.read(&mut self.bytes[self.end..])?;
         self.end += count;
-        self.pool.read_bytes.set(self.pool.read_bytes.get() + count as u64);
+        self.pool.state.borrow_mut().read_bytes += count as u64;
         Ok(count)
     }
 }
--- a/crates/dunepond-broker/src/config.rs
+++ b/crates/dunepond-broker/src/config.rs
@@ -6,7 +6,7 @@
 
 use dunepond_config::operator::OperatorConfig;
 use dunepond_config::{ConfigError, Fields, HostSettings, deployment, host_settings};
-use dunepond_routing::{Deployment, MemoryLimits};
+use dunepond_routing::{Deployment, MemoryLimits, MemoryUses};
 use serde_json::Value;
 use tracing::level_filters::LevelFilter;
 
@@ -20,8 +20,11 @@
 const DEFAULT_DESCRIPTORS: u64 = 1024;
 /// Minimum number of connections. The broker does not start if the limit on file descriptors leaves fewer.
 const MIN_CONNECTIONS: u64 = 16;
-/// Minimum number of buffers. The broker does not start if the limit on memory leaves fewer.
-const MIN_BUFFERS: usize = 16;
+/// Minimum number of the largest buffers for what clients send, enough for one request. The broker does not start if the limit
+/// on memory leaves fewer.
+const MIN_CLIENT_BUFFERS: usize = 2;
+/// Bytes in a mebibyte.
+const MIB: f64 = 1024.0 * 1024.0;
 
 /// The configuration that a broker is started with.
 #[derive(Debug)]
@@ -36,11 +39,8 @@
     pub log_level: LevelFilter,
     /// Maximum number of open client connections.
     pub max_clients: usize,
-    /// Limit on the number of buffers in use. Once it is reached, a client connection is evicted before another
-    /// buffer is acquired for reading.
-    pub max_buffers: usize,
-    /// The shares of the limit on memory.
-    pub memory_limits: MemoryLimits,
+    /// The limit on memory, in bytes.
+    pub memory_bytes: f64,
     /// Maximum number of open connections to nodes.
     pub max_node_connections: usize,
     /// The settings of the deployment.
@@ -127,11 +127,42 @@
     }
 }
 
+/// Whether these limits leave enough buffers for what clients send.
+fn has_client_buffers(limits: &MemoryLimits) -> bool {
+    limits.client_buffer_bytes() >= (MIN_CLIENT_BUFFERS * BUFFER_BYTES) as f64
+}
+
+impl StartupConfig {
+    /// Returns the shares of the limit on memory, for the features that the operator's file enables.
+    ///
+    /// Fails if these features leave too little memory for clients.
+    pub fn memory_limits(&self) -> Result<MemoryLimits, ConfigError> {
+        let uses = MemoryUses {
+            bodies: self.operator.body_buffer.is_some(),
+            prefilter: self.operator.prefilter.is_some(),
+            control_plane: self.operator.fleet.is_some(),
+        };
+        let limits = MemoryLimits::new(self.memory_bytes, uses);
+        if has_client_buffers(&limits) {
+            return Ok(limits);
+        }
+        Err(ConfigError(
+            "config: limits.memory_mb: too little memory for the features that the operator's file enables; raise it, or turn \
+             off 'bodies', 'phases' or 'fleet'"
+                .to_string(),
+        ))
+    }
+
+    /// Returns the maximum number of connections of clients and to nodes.
+    pub fn max_connections(&self) -> u64 {
+        (self.max_clients + self.max_node_connections) as u64
+    }
+}
+
 /// The limits on connections and their buffers that follow from the limits on file descriptors and memory.
 struct ConnectionLimits {
     max_connections: u64,
-    max_buffers: usize,
-    memory_limits: MemoryLimits,
+    memory_bytes: f64,
 }
 
 impl ConnectionLimits {
@@ -139,17 +170,18 @@
     fn from_config(config: &Fields) -> Result<Self, ConfigError> {
         let descriptors = config.count_or("limits.sockets", DEFAULT_DESCRIPTORS)?;
         let memory_mib = config.number_or("limits.memory_mb", DEFAULT_MEMORY_MIB)?;
-        let memory_limits = MemoryLimits::new(memory_mib * 1024.0 * 1024.0);
+        let memory_bytes = memory_mib * MIB;
+        let max_connections = MemoryLimits::new(memory_bytes, MemoryUses::default()).max_connections();
         Ok(Self {
-            max_connections: descriptors.saturating_sub(RESERVED_DESCRIPTORS),
-            max_buffers: (memory_limits.read_buffer_bytes() / BUFFER_BYTES as f64) as usize,
-            memory_limits,
+            max_connections: descriptors.saturating_sub(RESERVED_DESCRIPTORS).min(max_connections),
+            memory_bytes,
         })
     }
 
     /// Whether the broker cannot run with these limits.
     fn is_too_low(&self) -> bool {
-        self.max_connections < MIN_CONNECTIONS || self.max_buffers < MIN_BUFFERS
+        self.max_connections < MIN_CONNECTIONS
+            || !has_client_buffers(&MemoryLimits::new(self.memory_bytes, MemoryUses::default()))
     }
 
     /// Returns the limit on connections to nodes. A quarter of all connections is enough, as many clients share them and idle
@@ -192,8 +224,7 @@
         discovery_address: source.address("GW_DISCOVERY", "discovery")?,
         log_level,
         max_clients: limits.max_clients(),
-        max_buffers: limits.max_buffers,
-        memory_limits: limits.memory_limits,
+        memory_bytes: limits.memory_bytes,
         max_node_connections: limits.max_node_connections(),
         deployment,
         unsupported_setting,
--- a/crates/dunepond-broker/src/connection_end.rs
+++ b/crates/dunepond-broker/src/connection_end.rs
@@ -36,6 +36,8 @@
     /// The peer read too little: of a body that is passed through, while its other readers waited, or of responses, while others
     /// needed the memory.
     SlowConsumer,
+    /// The broker closed the connection as others needed its memory.
+    OutOfMemory,
     /// The broker closed the connection because the body of a partly written frame was lost.
     BodyLost,
 }
@@ -92,6 +94,7 @@
             Self::IdleClosed => "closed while idle",
             Self::IoTimeout => "timed out while reading or writing",
             Self::SlowConsumer => "read a streamed body too slowly",
+            Self::OutOfMemory => "closed: others needed its memory",
             Self::BodyLost => "closed: the body of a partly written frame was lost",
         })
     }
--- a/crates/dunepond-broker/src/downstream/disconnect.rs
+++ b/crates/dunepond-broker/src/downstream/disconnect.rs
@@ -18,6 +18,8 @@
 /// Maximum age of a client's last disconnect check when an attempt is sent for that client. An attempt must not begin
 /// more than 0.1 s after the client has disconnected; half of that time is left for writing the attempt's frame.
 const CHECK_VALID_SECONDS: f64 = 0.05;
+/// Share of the read buffers up to which clients that wait for a response are read ahead; the rest is for new requests.
+const READ_AHEAD_RATIO: f64 = 0.5;
 
 impl Downstream {
     /// Returns whether a client has disconnected. Checks the socket again if the last check is `CHECK_VALID_SECONDS`
@@ -64,10 +66,9 @@
     }
 
     /// Whether there are buffers for reading ahead what a client sends while it waits for a response. The end of its
-    /// stream is seen only once all earlier bytes in the socket's receive buffer have been read. Half of the buffers
-    /// are reserved for new requests.
+    /// stream is seen only once all earlier bytes in the socket's receive buffer have been read.
     pub(super) fn has_read_ahead_capacity(&self) -> bool {
-        2 * self.pool.buffers_in_use() < self.max_buffers
+        self.pool.has_room(0, READ_AHEAD_RATIO)
     }
 
     /// Returns how a client's connection has ended; `None` if it is still open. Reads ahead what has arrived, as the
@@ -75,7 +76,7 @@
     /// the peer's close instead.
     fn probe_disconnect(&mut self, now: f64, id: usize) -> Option<ConnectionEnd> {
         let received_at = self.received_at(now);
-        let has_buffer = self.pool.buffers_in_use() < self.max_buffers;
+        let has_buffer = self.pool.has_room(0, 1.0);
         let may_read_ahead = self.has_read_ahead_capacity();
         let client = &mut self.connections[id];
         client.hides_its_end = false;
--- a/crates/dunepond-broker/src/downstream/mod.rs
+++ b/crates/dunepond-broker/src/downstream/mod.rs
@@ -28,7 +28,7 @@
 use slab::Slab;
 
 use crate::body::Body;
-use crate::buffers::{Buffer, Pool, WriteQueue};
+use crate::buffers::{BUFFER_BYTES, Buffer, Pool, WriteQueue};
 use crate::clock::TimerKey;
 use crate::connection_end::ConnectionEnd;
 use crate::http::{Head, Message};
@@ -139,7 +139,12 @@
     pool: Pool,
     connections: Slab<ClientConnection>,
     max_connections: usize,
-    max_buffers: usize,
+    /// Where bytes are read to that are discarded.
+    discarded: Box<[u8]>,
+    /// Number of connections closed since the start because others needed their memory.
+    pub evicted_for_memory: u64,
+    /// Number of connections closed since the start because their clients read too slowly what others needed the memory for.
+    pub slow_readers_closed: u64,
     settings: Rc<HostSettings>,
     /// Number of malformed requests since the start.
     pub malformed_messages: u64,
@@ -193,7 +198,7 @@
 
 impl Downstream {
     /// Creates the downstream side with one listener for queries and no connections. `max_connections` bounds the
-    /// connections, `max_buffers` the read buffers in use.
+    /// connections, and the limit of `pool` what is read of requests.
     ///
     /// Fails if the event loop cannot watch the listener.
     pub fn new(
@@ -201,7 +206,6 @@
         pool: &Pool,
         settings: Rc<HostSettings>,
         max_connections: usize,
-        max_buffers: usize,
         listener: TcpListener,
         unfinished_turns: &UnfinishedTurns,
     ) -> calloop::Result<Self> {
@@ -210,7 +214,9 @@
             pool: pool.clone(),
             connections: Slab::new(),
             max_connections,
-            max_buffers,
+            discarded: vec![0; BUFFER_BYTES].into_boxed_slice(),
+            evicted_for_memory: 0,
+            slow_readers_closed: 0,
             settings,
             listeners: Vec::new(),
             accepting_paused: false,
@@ -273,6 +279,15 @@
         }
     }
 
+    /// Returns the memory of the buffers that hold what the client has sent of its request, in bytes.
+    fn buffer_bytes(&self) -> usize {
+        let body = match &self.phase {
+            RequestPhase::ReadingBody(message) => message.body.as_ref(),
+            _ => None,
+        };
+        self.input.iter().chain(&self.read_ahead).chain(body).map(Buffer::allocated_bytes).sum()
+    }
+
     /// Returns how many bytes have been read from the client and not parsed yet.
     fn unparsed_bytes(&self) -> usize {
         let buffers = self.input.iter().chain(&self.read_ahead);
--- a/crates/dunepond-broker/src/downstream/read.rs
+++ b/crates/dunepond-broker/src/downstream/read.rs
@@ -1,11 +1,11 @@
 //! Reads from client connections, with a bounded number of reads per connection and turn.
 
 use std::collections::VecDeque;
-use std::io;
+use std::io::{self, Read};
 use std::net::TcpStream;
 
 use super::{ArrivalTimes, ClientConnection, ClientEvent, Downstream, RequestPhase};
-use crate::buffers::Buffer;
+use crate::buffers::{Buffer, bytes_for_next_read};
 use crate::clock::{TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::read_turn::{MAX_READS_PER_TURN, UnfinishedConnection};
@@ -98,9 +98,7 @@
                 return ClientEvent::Nothing;
             }
             client.reads_in_turn += 1;
-            if self.connections[id].input.is_none() && self.pool.buffers_in_use() >= self.max_buffers {
-                self.evict_for_buffer(id, timers);
-            }
+            self.make_room_for_read(id, timers);
             if let Some(connection_end) = self.read_once(now, id) {
                 return ClientEvent::Disconnected(self.close(id, connection_end, timers));
             }
@@ -147,10 +145,14 @@
     fn read_once(&mut self, now: f64, id: usize) -> Option<ConnectionEnd> {
         let received_at = self.received_at(now);
         let client = &mut self.connections[id];
-        let input = client.input.get_or_insert_with(|| self.pool.acquire());
-        match read(input, &mut client.read_ahead, &mut client.arrivals, &client.stream, received_at) {
+        let received = if matches!(client.phase, RequestPhase::Lingering) {
+            (&*client.stream).read(&mut self.discarded)
+        } else {
+            let input = client.input.get_or_insert_with(|| self.pool.acquire());
+            read(input, &mut client.read_ahead, &mut client.arrivals, &client.stream, received_at)
+        };
+        match received {
             Ok(0) => return Some(ConnectionEnd::Closed),
-            Ok(_) if matches!(client.phase, RequestPhase::Lingering) => client.input = None,
             Ok(_) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -183,19 +185,30 @@
         event
     }
 
-    /// Frees a read buffer by closing a connection: of the connections that occupy a buffer, except `except`, the one
-    /// that has been sending its request for the longest time, or else one whose body waits for room.
-    fn evict_for_buffer(&mut self, except: usize, timers: &mut Timers) {
-        let holds_buffer = |client: &ClientConnection| {
-            client.input.is_some() || matches!(client.phase, RequestPhase::ReadingBody(_))
-        };
-        let mut candidates = self.awaiting_request.values().copied();
-        let evicted = candidates.find(|id| *id != except && holds_buffer(&self.connections[*id]));
-        let is_upload = |client: &ClientConnection| matches!(&client.phase, RequestPhase::StreamingBody(streamed) if streamed.query.is_none());
-        let mut uploads = self.connections.iter().filter(|(_, client)| is_upload(client));
-        let holds_upload = |(id, client): &(usize, &ClientConnection)| *id != except && holds_buffer(client);
-        if let Some(id) = evicted.or_else(|| uploads.find(holds_upload).map(|(id, _)| id)) {
-            self.close(id, ConnectionEnd::IoTimeout, timers);
+    /// Closes connections until the next read from a client has room among the read buffers, or there is none to close.
+    fn make_room_for_read(&mut self, id: usize, timers: &mut Timers) {
+        let client = &self.connections[id];
+        if matches!(client.phase, RequestPhase::Lingering) {
+            return;
         }
+        let bytes = bytes_for_next_read(client.input.as_ref());
+        while bytes > 0 && !self.pool.has_room(bytes, 1.0) && self.evict_for_buffer(id, bytes, timers) {}
+    }
+
+    /// Frees read buffers by closing a connection: of the connections that occupy buffers, except `except`, the one that has
+    /// been sending its request for the longest time, of those that occupy `bytes` if there are any, or else one whose body
+    /// waits for room. Returns `false` if there is none.
+    fn evict_for_buffer(&mut self, except: usize, bytes: usize, timers: &mut Timers) -> bool {
+        let held = |id: &usize| self.connections[*id].buffer_bytes();
+        let others = || self.awaiting_request.values().copied().filter(|id| *id != except);
+        let evicted = others().find(|id| held(id) >= bytes).or_else(|| others().find(|id| held(id) > 0));
+        let is_upload = |client: &ClientConnection| matches!(&client.phase, RequestPhase::StreamingBody(streamed) if streamed.query.is_none());
+        let mut uploads = self.connections.iter().filter(|(_, client)| is_upload(client)).map(|(id, _)| id);
+        let Some(id) = evicted.or_else(|| uploads.find(|id| *id != except && held(id) > 0)) else {
+            return false;
+        };
+        self.evicted_for_memory += 1;
+        self.close(id, ConnectionEnd::OutOfMemory, timers);
+        true
     }
 }
--- a/crates/dunepond-broker/src/downstream/response.rs
+++ b/crates/dunepond-broker/src/downstream/response.rs
@@ -109,6 +109,7 @@
         for id in slowest {
             let client = &mut self.connections[id];
             client.disconnected.get_or_insert(ConnectionEnd::SlowConsumer);
+            self.slow_readers_closed += 1;
             self.disconnected_clients.push(id);
         }
     }
--- a/crates/dunepond-broker/src/event_loop/background.rs
+++ b/crates/dunepond-broker/src/event_loop/background.rs
@@ -87,12 +87,21 @@
         );
     }
 
-    /// Logs what takes memory: queries in flight, responses that clients have not read, and read buffers.
+    /// Logs what takes memory: queries in flight, responses that clients have not read, and buffers; and how many connections were
+    /// closed for it since the start.
     fn log_memory(&self) {
+        let pools = &self.router_host.pools;
         info!(
             query_bytes = self.router_host.stored_query_bytes(),
             unread_response_bytes = self.router_host.downstream.unread_bytes(),
-            buffer_bytes = self.router_host.pool.allocated_bytes(),
+            client_buffer_bytes = pools.clients.in_use_bytes(),
+            node_buffer_bytes = pools.nodes.in_use_bytes(),
+            frame_buffer_bytes = pools.frames.in_use_bytes(),
+            buffer_bytes = pools.allocated_bytes(),
+            clients = self.router_host.downstream.count(),
+            clients_closed_for_memory = self.router_host.downstream.evicted_for_memory,
+            slow_readers_closed = self.router_host.downstream.slow_readers_closed,
+            nodes_closed_for_memory = self.router_host.upstream.evicted_for_memory,
             "memory counters"
         );
     }
--- a/crates/dunepond-broker/src/event_loop/long_turns.rs
+++ b/crates/dunepond-broker/src/event_loop/long_turns.rs
@@ -65,7 +65,7 @@
     }
 
     fn begin_turn(&self, subject: TurnSubject) -> Turn {
-        Turn { subject, began_at: self.clock.now(), read_bytes_before: self.router_host.pool.read_bytes() }
+        Turn { subject, began_at: self.clock.now(), read_bytes_before: self.router_host.pools.read_bytes() }
     }
 
     /// Records the turn's time, and logs a warning if it has taken long.
@@ -73,7 +73,7 @@
         let elapsed = self.clock.now() - turn.began_at;
         self.turn_times.record(elapsed);
         if elapsed > LONG_TURN_SECONDS {
-            let read_bytes = self.router_host.pool.read_bytes() - turn.read_bytes_before;
+            let read_bytes = self.router_host.pools.read_bytes() - turn.read_bytes_before;
             let subject = NamedSubject { subject: turn.subject, event_loop: self };
             warn!("event loop: long turn: {subject} took {elapsed:.3} s; {read_bytes} bytes read");
         }
--- a/crates/dunepond-broker/src/event_loop/startup.rs
+++ b/crates/dunepond-broker/src/event_loop/startup.rs
@@ -11,7 +11,7 @@
 use dunepond_config::operator;
 use dunepond_config::{ConfigError, HostSettings};
 use dunepond_control_plane::TestDoubles;
-use dunepond_routing::{Deployment, Idempotency, QueryMemory, Router, ShutdownStage};
+use dunepond_routing::{Deployment, Idempotency, MemoryLimits, QueryMemory, Router, ShutdownStage};
 use dunepond_storage::FileStore;
 use tracing::info;
 
@@ -23,7 +23,7 @@
 use super::turn_times::TurnTimes;
 use crate::background::Background;
 use crate::body_store::BodyStore;
-use crate::buffers::{self, Pool};
+use crate::buffers::{self, Pool, Pools};
 use crate::clock::Clock;
 use crate::config::StartupConfig;
 use crate::config_reload::ConfigReloader;
@@ -88,7 +88,8 @@
 
 /// What all connections share.
 struct SharedByConnections<'a> {
-    pool: &'a Pool,
+    pools: &'a Pools,
+    memory_limits: MemoryLimits,
     settings: &'a Rc<HostSettings>,
     handle: &'a EventLoopHandle,
     unfinished_turns: &'a UnfinishedTurns,
@@ -121,14 +122,17 @@
     signals_since: Instant,
     handle: &EventLoopHandle,
 ) -> Result<Broker, ConfigError> {
-    let (pool, host_settings) = (Pool::default(), Rc::new(startup.host_settings.clone()));
+    let memory_limits = startup.memory_limits()?;
+    let (pools, host_settings) = (create_pools(&memory_limits), Rc::new(startup.host_settings.clone()));
     let unfinished_turns = UnfinishedTurns::default();
     let agent = startup.discovery_address;
-    let mut discovery = DiscoveryClient::new(handle.clone(), &pool, agent, &host_settings, &unfinished_turns);
+    let mut discovery =
+        DiscoveryClient::new(handle.clone(), &pools.nodes, agent, &host_settings, &unfinished_turns);
     // An invalid configured list is ignored, as discovery will send a list.
     let configured_endpoints = discovery.parse_configured_list(&startup.configured_endpoints).ok();
     let shared = SharedByConnections {
-        pool: &pool,
+        pools: &pools,
+        memory_limits,
         settings: &host_settings,
         handle,
         unfinished_turns: &unfinished_turns,
@@ -172,6 +176,15 @@
     Ok(Broker { event_loop, address, body_folder, max_accept_delay })
 }
 
+/// Creates the pools of buffers.
+fn create_pools(limits: &MemoryLimits) -> Pools {
+    Pools {
+        clients: Pool::with_limit(limits.client_buffer_bytes() as usize),
+        nodes: Pool::with_limit(limits.node_buffer_bytes() as usize),
+        frames: Pool::with_limit(limits.node_frame_bytes() as usize),
+    }
+}
+
 /// Creates the router's host, with the optional components that the operator's file enables.
 fn open_host(
     startup: &StartupConfig,
@@ -204,45 +217,45 @@
     startup: &StartupConfig,
     shared: &SharedByConnections,
 ) -> Result<Connections, ConfigError> {
-    let SharedByConnections { pool, settings: host_settings, handle, unfinished_turns } = *shared;
+    let SharedByConnections { pools, memory_limits, settings: host_settings, handle, unfinished_turns } =
+        *shared;
     let failed_to_listen = |e: &dyn std::fmt::Display| setup_error("GW_LISTEN", e);
     let listener =
         listen_with_retry("GW_LISTEN", startup.listen_address).map_err(|e| failed_to_listen(&e))?;
     let address = listener.local_addr().map_err(|e| failed_to_listen(&e))?;
     let downstream = Downstream::new(
         handle.clone(),
-        pool,
+        &pools.clients,
         host_settings.clone(),
         startup.max_clients,
-        startup.max_buffers,
         listener,
         unfinished_turns,
     );
     let mut downstream = downstream.map_err(|e| failed_to_listen(&e))?;
-    downstream.max_unread_bytes = startup.memory_limits.unread_response_bytes() as usize;
+    downstream.max_unread_bytes = memory_limits.unread_response_bytes() as usize;
     let max_prefilter =
         if startup.operator.prefilter.is_some() { startup.max_node_connections / 4 } else { 0 };
     let prefilter_connections = PrefilterConnections::new(
         handle.clone(),
-        pool,
+        pools,
         host_settings.clone(),
         max_prefilter,
         unfinished_turns,
     );
     let max_upstream = startup.max_node_connections - max_prefilter;
     let mut upstream =
-        Upstream::new(handle.clone(), pool, host_settings.clone(), max_upstream, unfinished_turns);
+        Upstream::new(handle.clone(), pools, host_settings.clone(), max_upstream, unfinished_turns);
     if !startup.operator.search_api_nodes.is_empty() {
         let classes = startup.deployment.query_classes.iter();
         let is_non_idempotent = classes.map(|class| class.idempotency == Idempotency::NonIdempotent);
         upstream.set_search_api_nodes(startup.operator.search_api_nodes.clone(), is_non_idempotent.collect());
     }
     let run_id = RunId::random().map_err(|e| setup_error("the system's random source", &e))?;
-    let memory = QueryMemory::new(startup.memory_limits);
+    let memory = QueryMemory::new(memory_limits);
     let router_host = RouterHost::new(
         &startup.deployment,
         host_settings.clone(),
-        pool,
+        pools,
         downstream,
         upstream,
         run_id,
--- a/crates/dunepond-broker/src/prefilter_connections.rs
+++ b/crates/dunepond-broker/src/prefilter_connections.rs
@@ -13,7 +13,7 @@
 use slab::Slab;
 use tracing::{debug, warn};
 
-use crate::buffers::{Buffer, Pool, WriteQueue};
+use crate::buffers::{Buffer, Pools, WriteQueue, bytes_for_next_read};
 use crate::clock::{TimerEvent, TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::frames::{self, NodeFrame};
@@ -61,7 +61,7 @@
 /// All prefilter connections, at most one per node.
 pub struct PrefilterConnections {
     handle: EventLoopHandle,
-    pool: Pool,
+    pools: Pools,
     connections: Slab<PrefilterConnection>,
     by_node: HashMap<NodeId, usize>,
     max_connections: usize,
@@ -79,16 +79,16 @@
     /// Creates an instance without connections; `max_connections` limits them.
     pub fn new(
         handle: EventLoopHandle,
-        pool: &Pool,
+        pools: &Pools,
         settings: Rc<HostSettings>,
         max_connections: usize,
         unfinished_turns: &UnfinishedTurns,
     ) -> Self {
-        let (pool, connections, by_node, responses) =
-            (pool.clone(), Slab::new(), HashMap::new(), VecDeque::new());
+        let (pools, connections, by_node, responses) =
+            (pools.clone(), Slab::new(), HashMap::new(), VecDeque::new());
         Self {
             handle,
-            pool,
+            pools,
             connections,
             by_node,
             max_connections,
@@ -120,7 +120,9 @@
             },
         };
         let connection = &mut self.connections[id];
-        if connection.output.pending_bytes() > MAX_QUEUED_BYTES {
+        if connection.output.pending_bytes() > MAX_QUEUED_BYTES
+            || !self.pools.frames.has_room(frame.len(), 1.0)
+        {
             return self.responses.push_back((request, Err(RequestFailure::Timeout)));
         }
         connection.output.queue_bytes(frame);
@@ -163,7 +165,7 @@
             token,
             connected: false,
             input: None,
-            output: WriteQueue::new(&self.pool),
+            output: WriteQueue::new(&self.pools.frames),
             outstanding: VecDeque::new(),
             timer,
         });
@@ -207,7 +209,10 @@
         let mut turn = ReadTurn::default();
         loop {
             let connection = &mut self.connections[id];
-            let input = connection.input.get_or_insert_with(|| self.pool.acquire());
+            if !self.pools.nodes.has_room(bytes_for_next_read(connection.input.as_ref()), 1.0) {
+                return self.close(id, ConnectionEnd::OutOfMemory, timers);
+            }
+            let input = connection.input.get_or_insert_with(|| self.pools.nodes.acquire());
             let connection_end = match turn.read(input, &*connection.stream) {
                 Ok(Received::End) => Some(ConnectionEnd::Closed),
                 Ok(Received::Bytes) => self.receive_frames(now, id),
--- a/crates/dunepond-broker/src/router/mod.rs
+++ b/crates/dunepond-broker/src/router/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::body::Payload;
 use crate::body_store::BodyStore;
-use crate::buffers::Pool;
+use crate::buffers::Pools;
 use crate::clock::{TimerKey, Timers};
 use crate::control_plane::ControlPlaneClient;
 use crate::downstream::Downstream;
@@ -98,7 +98,7 @@
     /// Unix time in seconds; stays the same during a call to the router.
     pub now: f64,
     /// The buffers of all connections.
-    pub pool: Pool,
+    pub pools: Pools,
     /// The timers of the whole event loop.
     pub timers: Timers,
     /// Connections of clients.
@@ -218,7 +218,7 @@
     pub fn new(
         deployment: &Deployment,
         host_settings: Rc<HostSettings>,
-        pool: &Pool,
+        pools: &Pools,
         downstream: Downstream,
         upstream: Upstream,
         run_id: RunId,
@@ -226,7 +226,7 @@
     ) -> Self {
         Self {
             now: 0.0,
-            pool: pool.clone(),
+            pools: pools.clone(),
             timers: Timers::default(),
             downstream,
             upstream,
@@ -270,6 +270,7 @@
 
     /// Writes queued frames to the nodes, freeing file descriptors for new connections if none are left.
     pub fn flush(&mut self) {
+        self.upstream.resume_awaiting_memory();
         self.upstream.flush(self.now, &mut self.timers);
         while self.upstream.is_awaiting_descriptor() {
             let has_descriptor = self.free_descriptor();
--- a/crates/dunepond-broker/src/router/streamed_bodies.rs
+++ b/crates/dunepond-broker/src/router/streamed_bodies.rs
@@ -15,7 +15,7 @@
     /// Registers a query whose body is streamed, or rejects it at once with an error that names the reason.
     pub fn register_streamed_query(&mut self, client: usize, request: QueryRequest, head: Head) {
         let Some(bodies) = &mut self.body_store else { return };
-        bodies.record_other_memory(self.pool.allocated_bytes(), self.memory.stored_bytes());
+        bodies.record_other_memory(self.pools.allocated_bytes(), self.memory.stored_bytes());
         let QueryRequest { tenant, query_class, .. } = request;
         let incoming = IncomingBody { tenant, query_class, stated_length: head.declared_length() };
         match bodies.accept(self.now, incoming) {
@@ -97,7 +97,7 @@
         let Some(bodies) = &mut self.body_store else { return };
         let received = std::mem::take(&mut self.downstream.bodies_received);
         if !received.is_empty() {
-            bodies.record_other_memory(self.pool.allocated_bytes(), self.memory.stored_bytes());
+            bodies.record_other_memory(self.pools.allocated_bytes(), self.memory.stored_bytes());
         }
         for id in received {
             bodies.advance(self.now, id);
@@ -117,7 +117,7 @@
     /// Logs the counters of the body store. `copied` is the number of bytes copied into frames for nodes.
     pub fn report_body_counters(&mut self, copied: u64) {
         if let Some(bodies) = &mut self.body_store {
-            bodies.record_other_memory(self.pool.allocated_bytes(), self.memory.stored_bytes());
+            bodies.record_other_memory(self.pools.allocated_bytes(), self.memory.stored_bytes());
             bodies.log_counters(copied);
         }
     }
@@ -129,7 +129,7 @@
         bodies.fail_overdue(self.now);
         let io_timeout = bodies.limits().io_timeout_seconds;
         self.upstream.close_slow_consumers(self.now, io_timeout, &mut self.timers);
-        bodies.record_other_memory(self.pool.allocated_bytes(), self.memory.stored_bytes());
+        bodies.record_other_memory(self.pools.allocated_bytes(), self.memory.stored_bytes());
         bodies.io_check_scheduled = bodies.is_tracking_any();
         if bodies.io_check_scheduled {
             self.timers.schedule(self.now + io_timeout / 4.0, TimerEvent::BodyCheck);
--- a/crates/dunepond-broker/src/upstream/connection.rs
+++ b/crates/dunepond-broker/src/upstream/connection.rs
@@ -80,7 +80,7 @@
                 ),
             ),
             input: None,
-            output: WriteQueue::new(&self.pool),
+            output: WriteQueue::new(&self.pools.frames),
             outstanding: VecDeque::new(),
             cancelled: Vec::new(),
             last_batch: 0,
--- a/crates/dunepond-broker/src/upstream/mod.rs
+++ b/crates/dunepond-broker/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod finished_ids;
 mod framing;
 mod ownership_check;
+mod read_memory;
 mod request;
 mod response;
 mod streaming;
@@ -23,7 +24,7 @@
 use slab::Slab;
 
 use crate::body::{BodyReader, Payload};
-use crate::buffers::{Buffer, Pool, WriteQueue};
+use crate::buffers::{Buffer, Pools, WriteQueue};
 use crate::clock::{self, TimerKey};
 use crate::connection_end::ConnectionEnd;
 use crate::control_plane::{Gate, PartTarget, QueryStart};
@@ -175,7 +176,11 @@
 /// All nodes and the connections to them.
 pub struct Upstream {
     handle: EventLoopHandle,
-    pool: Pool,
+    pools: Pools,
+    /// Connections that are read once there is memory for what they send, in the order in which they get it.
+    awaiting_memory: VecDeque<usize>,
+    /// Number of connections closed since the start because others needed their memory.
+    pub evicted_for_memory: u64,
     nodes: Vec<NodeEntry>,
     connections: Slab<NodeConnection>,
     /// Limit on the number of connections to all nodes.
@@ -315,6 +320,7 @@
         // Excludes connections with an input buffer, as not everything on them is read or they have received part of a
         // frame and may be broken; and those idle for too long, as the node may be closing them.
         !self.retired
+            && !self.turn_unfinished
             && now >= self.reusable_at
             && self.uses_search_api == uses_search_api
             && self.input.is_none()
@@ -351,7 +357,7 @@
     /// Creates an instance without nodes; `max_connections` limits the connections to all nodes together.
     pub fn new(
         handle: EventLoopHandle,
-        pool: &Pool,
+        pools: &Pools,
         settings: Rc<HostSettings>,
         max_connections: usize,
         unfinished_turns: &UnfinishedTurns,
@@ -359,7 +365,9 @@
         Self {
             unfinished_turns: unfinished_turns.clone(),
             handle,
-            pool: pool.clone(),
+            pools: pools.clone(),
+            awaiting_memory: VecDeque::new(),
+            evicted_for_memory: 0,
             nodes: Vec::new(),
             connections: Slab::new(),
             max_connections,
--- a/crates/dunepond-broker/src/upstream/response.rs
+++ b/crates/dunepond-broker/src/upstream/response.rs
@@ -51,9 +51,12 @@
     pub(super) fn read(&mut self, now: f64, id: usize, timers: &mut Timers) {
         let mut turn = ReadTurn::default();
         loop {
+            if !self.make_room_for_read(now, id, timers) {
+                return;
+            }
             let connection = &mut self.connections[id];
             let write_failure = connection.write_failure;
-            let input = connection.input.get_or_insert_with(|| self.pool.acquire());
+            let input = connection.input.get_or_insert_with(|| self.pools.nodes.acquire());
             let connection_end = match turn.read(input, &*connection.stream) {
                 // A close completes a search API response without a length. After a failed write it does not: once a
                 // reset has been reported, later reads look like an ordinary close.
@@ -112,7 +115,7 @@
     fn parse_search_response(&mut self, id: usize) -> Result<Option<Message>, ConnectionEnd> {
         let connection = &mut self.connections[id];
         let Some(input) = connection.input.as_mut() else { return Ok(None) };
-        match connection.responses.read(input, &self.pool) {
+        match connection.responses.read(input, &self.pools.nodes) {
             // Bytes after the only outstanding response could be taken for the start of the next response.
             Ok(Some(_)) if !input.is_empty() => Err(ConnectionEnd::ProtocolError),
             Ok(response) => Ok(response),
--- a/crates/dunepond-routing/src/lib.rs
+++ b/crates/dunepond-routing/src/lib.rs
@@ -32,8 +32,8 @@
     SpentBudgets,
 };
 pub use policy::{
-    AbandonedIds, MAX_SHUTDOWN_SECONDS, MAX_STALL_SECONDS, MemoryLimits, QueryMemory, SIGNAL_POLL_INTERVAL,
-    STALL_THRESHOLD_SECONDS, ShutdownStage, admits_further_search,
+    AbandonedIds, MAX_SHUTDOWN_SECONDS, MAX_STALL_SECONDS, MemoryLimits, MemoryUses, QueryMemory,
+    SIGNAL_POLL_INTERVAL, STALL_THRESHOLD_SECONDS, ShutdownStage, admits_further_search, query_record_bytes,
 };
 pub use query::{AttemptEnded, AttemptId, AttemptOutcome, Part, Query, QueryId};
 pub use state::{Router, Shutdown};
--- a/crates/dunepond-routing/src/policy/mod.rs
+++ b/crates/dunepond-routing/src/policy/mod.rs
@@ -36,7 +36,7 @@
 
 pub use self::abandoned_ids::AbandonedIds;
 pub use self::clock::MAX_STALL_SECONDS;
-pub use self::memory::{MemoryLimits, QueryMemory};
+pub use self::memory::{MemoryLimits, MemoryUses, QueryMemory, query_record_bytes};
 pub use self::multi_search::admits_further_search;
 pub use self::shutdown::{
     MAX_SHUTDOWN_SECONDS, SIGNAL_POLL_INTERVAL, STALL_THRESHOLD_SECONDS, ShutdownStage,
