Memory: what the system holds for each connection is bounded, and discarded with a close

Callers saw brokers killed for their memory although the process itself kept to the limit: the operating system held up to 328 MB for the sockets of a broker with 32. It takes up to 6 MB of what a client sends unread, and up to 4 MB of what a client does not read, for each connection, and keeps the latter after a close for as long as the client stays. A control group counts all of it.

Change: the sizes of the system's buffers follow from the limit and the number of connections (policy::MemoryLimits), 6 KiB a direction at least; the listeners' connections inherit them. What a client has not received is discarded where the broker closes its connection as slow, idle or for memory. A client for whose bytes there is no room waits 10 ms if nobody can be closed for it; one that waits for its turn is not closed, as its request may be complete; bodies and what is read ahead count before they are read.

--- a/crates/dunepond-broker/src/buffers.rs
+++ b/crates/dunepond-broker/src/buffers.rs
@@ -144,6 +144,13 @@
     }
 }
 
+/// Returns by how many bytes the buffers in use increase if `count` bytes are appended to `buffer`.
+pub fn bytes_to_append(buffer: Option<&Buffer>, count: usize) -> usize {
+    let (end, allocated) = buffer.map_or((0, 0), |buffer| (buffer.end, buffer.bytes.len()));
+    let needed = SIZES.iter().find(|size| **size >= end + count).unwrap_or(&BUFFER_BYTES);
+    needed.saturating_sub(allocated)
+}
+
 /// A buffer for bytes that were read or wait to be written, which grows as it fills; goes back to its pool when it is dropped.
 pub struct Buffer {
     bytes: Box<[u8]>,
--- a/crates/dunepond-broker/src/connection_end.rs
+++ b/crates/dunepond-broker/src/connection_end.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Whether what the peer has not received is discarded as the broker closes the connection. The system would hold it for as
+    /// long as the peer stays and does not read.
+    pub fn discards_unsent(self) -> bool {
+        matches!(self, Self::IoTimeout | Self::SlowConsumer | Self::OutOfMemory | Self::IdleClosed)
+    }
+
     /// Returns the outcome of an attempt on a connection that has ended. `written` says whether the last byte of the
     /// attempt's frame had been written. Whether the attempt may have run depends only on that: the system reports
     /// the same errors for a broken connection as for one that was never established.
--- a/crates/dunepond-broker/src/discovery/mod.rs
+++ b/crates/dunepond-broker/src/discovery/mod.rs
@@ -21,6 +21,7 @@
 use crate::http::{self, ResponseReader};
 use crate::iteration::{EventLoopHandle, LoopEvent, watch};
 use crate::read_turn::{ReadTurn, Received, UnfinishedConnection, UnfinishedTurns};
+use crate::socket_buffers::SocketBuffers;
 use crate::upstream;
 use call::{DiscoveryCall, ListState, Response};
 use list::Directory;
@@ -69,6 +70,8 @@
     /// Queues the connections for another turn.
     unfinished_turns: UnfinishedTurns,
     address: SocketAddr,
+    /// The sizes of the system's buffers for connections that are opened.
+    pub socket_buffers: SocketBuffers,
     /// The calls, oldest first. There is more than one only while the agent does not answer. The first response closes
     /// all other calls, so that an older response can never replace a newer one.
     calls: Vec<DiscoveryCall>,
@@ -98,6 +101,7 @@
             pool: pool.clone(),
             unfinished_turns: unfinished_turns.clone(),
             address,
+            socket_buffers: SocketBuffers::default(),
             calls: Vec::new(),
             timer: None,
             list: ListState { version: None, had_invalid_row: false, directory },
@@ -124,7 +128,7 @@
 
     /// Opens a connection to the agent.
     fn connect(&self, now: f64) -> Result<DiscoveryCall, ConnectionEnd> {
-        let stream = Rc::new(upstream::open(self.address)?);
+        let stream = Rc::new(upstream::open(self.address, self.socket_buffers)?);
         let token = watch(&self.handle, &stream, LoopEvent::DiscoveryReady)
             .map_err(|_| ConnectionEnd::LocalResources)?;
         Ok(DiscoveryCall {
--- a/crates/dunepond-broker/src/downstream/closing.rs
+++ b/crates/dunepond-broker/src/downstream/closing.rs
@@ -44,7 +44,7 @@
 
 /// Whether the socket's send buffer contains bytes that the peer has not acknowledged; `false` if the operating system
 /// cannot tell.
-fn has_unacknowledged(stream: &TcpStream) -> bool {
+pub(super) fn has_unacknowledged(stream: &TcpStream) -> bool {
     let mut count: libc::c_int = 0;
     // SAFETY: the descriptor is open as long as the stream is borrowed, and the call writes a single integer.
     unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &mut count) == 0 && count > 0 }
--- a/crates/dunepond-broker/src/downstream/disconnect.rs
+++ b/crates/dunepond-broker/src/downstream/disconnect.rs
@@ -10,7 +10,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use super::{Downstream, RequestPhase};
-use crate::buffers::{Buffer, Pool};
+use crate::buffers::{Buffer, Pool, bytes_for_next_read};
 use crate::clock::Timers;
 use crate::connection_end::ConnectionEnd;
 use crate::read_turn::MAX_READS_PER_TURN;
@@ -76,7 +76,6 @@
     /// the peer's close instead.
     fn probe_disconnect(&mut self, now: f64, id: usize) -> Option<ConnectionEnd> {
         let received_at = self.received_at(now);
-        let has_buffer = self.pool.has_room(0, 1.0);
         let may_read_ahead = self.has_read_ahead_capacity();
         let client = &mut self.connections[id];
         client.hides_its_end = false;
@@ -86,7 +85,9 @@
         // An input buffer that exists is kept even if it is empty: parsing an empty body needs one.
         let had_input = client.input.is_some();
         for _ in 0..MAX_READS_PER_TURN {
-            if is_read_blocked || client.input.is_none() && !has_buffer {
+            let last = client.read_ahead.back().or(client.input.as_ref());
+            let bytes = bytes_for_next_read(last);
+            if is_read_blocked || bytes > 0 && !self.pool.has_room(bytes, READ_AHEAD_RATIO) {
                 break;
             }
             let buffer =
--- a/crates/dunepond-broker/src/downstream/mod.rs
+++ b/crates/dunepond-broker/src/downstream/mod.rs
@@ -28,7 +28,7 @@
 use slab::Slab;
 
 use crate::body::Body;
-use crate::buffers::{BUFFER_BYTES, Buffer, Pool, WriteQueue};
+use crate::buffers::{BUFFER_BYTES, Buffer, Pool, WriteQueue, bytes_for_next_read, bytes_to_append};
 use crate::clock::TimerKey;
 use crate::connection_end::ConnectionEnd;
 use crate::http::{Head, Message};
@@ -288,6 +288,15 @@
         self.input.iter().chain(&self.read_ahead).chain(body).map(Buffer::allocated_bytes).sum()
     }
 
+    /// Returns by how many bytes the buffers increase with the next read: the input buffer, and that of the body into which its
+    /// bytes are moved.
+    fn bytes_for_next_read(&self) -> usize {
+        let input_bytes = bytes_for_next_read(self.input.as_ref());
+        let RequestPhase::ReadingBody(message) = &self.phase else { return input_bytes };
+        let moved = input_bytes + self.input.as_ref().map_or(0, Buffer::allocated_bytes);
+        input_bytes + bytes_to_append(message.body.as_ref(), moved)
+    }
+
     /// Returns how many bytes have been read from the client and not parsed yet.
     fn unparsed_bytes(&self) -> usize {
         let buffers = self.input.iter().chain(&self.read_ahead);
--- a/crates/dunepond-broker/src/downstream/read.rs
+++ b/crates/dunepond-broker/src/downstream/read.rs
@@ -5,7 +5,7 @@
 use std::net::TcpStream;
 
 use super::{ArrivalTimes, ClientConnection, ClientEvent, Downstream, RequestPhase};
-use crate::buffers::{Buffer, bytes_for_next_read};
+use crate::buffers::Buffer;
 use crate::clock::{TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::read_turn::{MAX_READS_PER_TURN, UnfinishedConnection};
@@ -16,6 +16,9 @@
 /// Delay before the next read from a client that has sent more than is read in one turn.
 const RESUME_READING_SECONDS: f64 = 0.001;
 
+/// Delay before the next read from a client for whose bytes there is no memory.
+const AWAIT_MEMORY_SECONDS: f64 = 0.01;
+
 /// Appends the bytes of one read to `input` and returns their number. Reads from the read-ahead buffers as long as
 /// these contain bytes, and otherwise from the socket. The socket's bytes arrived at `received_at` at the earliest.
 fn read(
@@ -98,7 +101,11 @@
                 return ClientEvent::Nothing;
             }
             client.reads_in_turn += 1;
-            self.make_room_for_read(id, timers);
+            if !self.make_room_for_read(id, timers) {
+                self.connections[id].reading_paused = true;
+                timers.schedule(now + AWAIT_MEMORY_SECONDS, TimerEvent::ClientResume(id));
+                return ClientEvent::Nothing;
+            }
             if let Some(connection_end) = self.read_once(now, id) {
                 return ClientEvent::Disconnected(self.close(id, connection_end, timers));
             }
@@ -185,26 +192,34 @@
         event
     }
 
-    /// Closes connections until the next read from a client has room among the read buffers, or there is none to close.
-    fn make_room_for_read(&mut self, id: usize, timers: &mut Timers) {
+    /// Closes connections until the next read from a client has room among the read buffers. Returns `false` if there is none to
+    /// close.
+    fn make_room_for_read(&mut self, id: usize, timers: &mut Timers) -> bool {
         let client = &self.connections[id];
         if matches!(client.phase, RequestPhase::Lingering) {
-            return;
+            return true;
         }
-        let bytes = bytes_for_next_read(client.input.as_ref());
-        while bytes > 0 && !self.pool.has_room(bytes, 1.0) && self.evict_for_buffer(id, bytes, timers) {}
+        let bytes = client.bytes_for_next_read();
+        while bytes > 0 && !self.pool.has_room(bytes, 1.0) {
+            if !self.evict_for_buffer(id, bytes, timers) {
+                return false;
+            }
+        }
+        true
     }
 
     /// Frees read buffers by closing a connection: of the connections that occupy buffers, except `except`, the one that has
     /// been sending its request for the longest time, of those that occupy `bytes` if there are any, or else one whose body
-    /// waits for room. Returns `false` if there is none.
+    /// waits for room. A connection that waits for its turn is left, as its request may be complete. Returns `false` if there is
+    /// none.
     fn evict_for_buffer(&mut self, except: usize, bytes: usize, timers: &mut Timers) -> bool {
         let held = |id: &usize| self.connections[*id].buffer_bytes();
-        let others = || self.awaiting_request.values().copied().filter(|id| *id != except);
-        let evicted = others().find(|id| held(id) >= bytes).or_else(|| others().find(|id| held(id) > 0));
+        let is_candidate = |id: &usize| *id != except && held(id) > 0 && !self.is_queued(*id);
+        let others = || self.awaiting_request.values().copied().filter(is_candidate);
+        let evicted = others().find(|id| held(id) >= bytes).or_else(|| others().next());
         let is_upload = |client: &ClientConnection| matches!(&client.phase, RequestPhase::StreamingBody(streamed) if streamed.query.is_none());
         let mut uploads = self.connections.iter().filter(|(_, client)| is_upload(client)).map(|(id, _)| id);
-        let Some(id) = evicted.or_else(|| uploads.find(|id| *id != except && held(id) > 0)) else {
+        let Some(id) = evicted.or_else(|| uploads.find(is_candidate)) else {
             return false;
         };
         self.evicted_for_memory += 1;
--- a/crates/dunepond-broker/src/downstream/timeouts.rs
+++ b/crates/dunepond-broker/src/downstream/timeouts.rs
@@ -3,12 +3,14 @@
 use dunepond_routing::QueryId;
 use tracing::debug;
 
+use super::closing::has_unacknowledged;
 use super::{Downstream, RequestPhase, error_body};
 use crate::clock::{TimerEvent, TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::http::HttpError;
 use crate::iteration::Port;
 use crate::search_api;
+use crate::socket_buffers::discard_unsent;
 
 /// How long a client may take to send a request, counted from its connect or, for a later request, from its first byte.
 /// Guards against hundreds of clients that send nothing, or half a request, and use up all connections.
@@ -82,6 +84,9 @@
         self.clear_timer(id, timers);
         let client = self.connections.try_remove(id)?;
         self.handle.remove(client.token);
+        if connection_end.discards_unsent() && has_unacknowledged(&client.stream) {
+            discard_unsent(&*client.stream);
+        }
         debug!("client {id}: connection {connection_end}");
         self.schedule_resume_accepting(timers);
         match client.phase {
--- a/crates/dunepond-broker/src/event_loop/startup.rs
+++ b/crates/dunepond-broker/src/event_loop/startup.rs
@@ -39,6 +39,7 @@
 use crate::run_id::RunId;
 use crate::search_api::SearchApi;
 use crate::signals::{CaughtSignals, catch_signals};
+use crate::socket_buffers::SocketBuffers;
 use crate::upstream::Upstream;
 
 /// Accepting connections may wait for the first endpoint list for at most this share of the shortest query timeout.
@@ -90,6 +91,7 @@
 struct SharedByConnections<'a> {
     pools: &'a Pools,
     memory_limits: MemoryLimits,
+    socket_buffers: SocketBuffers,
     settings: &'a Rc<HostSettings>,
     handle: &'a EventLoopHandle,
     unfinished_turns: &'a UnfinishedTurns,
@@ -126,13 +128,17 @@
     let (pools, host_settings) = (create_pools(&memory_limits), Rc::new(startup.host_settings.clone()));
     let unfinished_turns = UnfinishedTurns::default();
     let agent = startup.discovery_address;
+    let socket_buffer_bytes = memory_limits.socket_buffer_bytes(startup.max_connections());
+    let socket_buffers = SocketBuffers::new(socket_buffer_bytes as usize);
     let mut discovery =
         DiscoveryClient::new(handle.clone(), &pools.nodes, agent, &host_settings, &unfinished_turns);
+    discovery.socket_buffers = socket_buffers;
     // An invalid configured list is ignored, as discovery will send a list.
     let configured_endpoints = discovery.parse_configured_list(&startup.configured_endpoints).ok();
     let shared = SharedByConnections {
         pools: &pools,
         memory_limits,
+        socket_buffers,
         settings: &host_settings,
         handle,
         unfinished_turns: &unfinished_turns,
@@ -191,15 +197,14 @@
     hooks: &mut Hooks,
     shared: &SharedByConnections,
 ) -> Result<Host, ConfigError> {
-    let (host_settings, handle) = (shared.settings, shared.handle);
     let Connections { mut router_host, prefilter_connections, address } = open_connections(startup, shared)?;
     if let Some(search) = &startup.operator.search_api {
-        open_search_api(&mut router_host, search, host_settings.clone(), &startup.deployment)?;
+        open_search_api(&mut router_host, search, shared, &startup.deployment)?;
     }
     let mut body_folder = None;
     if let Some(bodies) = &startup.operator.body_buffer {
         let replacement = hooks.body_folder.take();
-        body_folder = open_body_store(&mut router_host, bodies, replacement, host_settings, handle)?;
+        body_folder = open_body_store(&mut router_host, bodies, replacement, shared)?;
     }
     let config = startup.operator.prefilter.clone();
     let prefilter = config.map(|config| PrefilterHost::new(config, &startup.deployment));
@@ -207,7 +212,7 @@
     if let Some(fleet) = &startup.operator.fleet {
         let test_doubles = std::mem::take(&mut hooks.control_plane);
         let name = &startup.name;
-        start_control_plane(&mut router_host, fleet, name, &startup.deployment, test_doubles, handle)?;
+        start_control_plane(&mut router_host, fleet, name, &startup.deployment, test_doubles, shared)?;
     }
     Ok(Host { router_host, prefilter, address, body_folder })
 }
@@ -217,12 +222,19 @@
     startup: &StartupConfig,
     shared: &SharedByConnections,
 ) -> Result<Connections, ConfigError> {
-    let SharedByConnections { pools, memory_limits, settings: host_settings, handle, unfinished_turns } =
-        *shared;
+    let SharedByConnections {
+        pools,
+        memory_limits,
+        socket_buffers,
+        settings: host_settings,
+        handle,
+        unfinished_turns,
+    } = *shared;
     let failed_to_listen = |e: &dyn std::fmt::Display| setup_error("GW_LISTEN", e);
     let listener =
         listen_with_retry("GW_LISTEN", startup.listen_address).map_err(|e| failed_to_listen(&e))?;
     let address = listener.local_addr().map_err(|e| failed_to_listen(&e))?;
+    socket_buffers.apply(&listener);
     let downstream = Downstream::new(
         handle.clone(),
         &pools.clients,
@@ -235,16 +247,18 @@
     downstream.max_unread_bytes = memory_limits.unread_response_bytes() as usize;
     let max_prefilter =
         if startup.operator.prefilter.is_some() { startup.max_node_connections / 4 } else { 0 };
-    let prefilter_connections = PrefilterConnections::new(
+    let mut prefilter_connections = PrefilterConnections::new(
         handle.clone(),
         pools,
         host_settings.clone(),
         max_prefilter,
         unfinished_turns,
     );
+    prefilter_connections.socket_buffers = socket_buffers;
     let max_upstream = startup.max_node_connections - max_prefilter;
     let mut upstream =
         Upstream::new(handle.clone(), pools, host_settings.clone(), max_upstream, unfinished_turns);
+    upstream.socket_buffers = socket_buffers;
     if !startup.operator.search_api_nodes.is_empty() {
         let classes = startup.deployment.query_classes.iter();
         let is_non_idempotent = classes.map(|class| class.idempotency == Idempotency::NonIdempotent);
@@ -268,16 +282,17 @@
 fn open_search_api(
     router_host: &mut RouterHost,
     config: &operator::SearchApiConfig,
-    host_settings: Rc<HostSettings>,
+    shared: &SharedByConnections,
     deployment: &Deployment,
 ) -> Result<(), ConfigError> {
     let failed_to_listen = |e: &dyn std::fmt::Display| setup_error("search: listen", e);
     let listener =
         listen_with_retry("search: listen", config.listen_address).map_err(|e| failed_to_listen(&e))?;
     let address = listener.local_addr().map_err(|e| failed_to_listen(&e))?;
+    shared.socket_buffers.apply(&listener);
     router_host.downstream.add_listener(listener, Port::SearchApi).map_err(|e| failed_to_listen(&e))?;
     router_host.downstream.search_api =
-        Some(Rc::new(SearchApi::new(config.limits.clone(), host_settings, deployment)));
+        Some(Rc::new(SearchApi::new(config.limits.clone(), shared.settings.clone(), deployment)));
     info!("the API listening at {address}");
     Ok(())
 }
@@ -287,13 +302,12 @@
     router_host: &mut RouterHost,
     config: &operator::BodyBufferConfig,
     replacement: Option<Arc<dyn SpillFolder>>,
-    host_settings: &HostSettings,
-    handle: &EventLoopHandle,
+    shared: &SharedByConnections,
 ) -> Result<Option<Arc<dyn SpillFolder>>, ConfigError> {
     router_host.downstream.accepts_streamed = true;
-    let spool = start_body_spool(config, replacement, handle)?;
+    let spool = start_body_spool(config, replacement, shared.handle)?;
     let (spool, folder) = spool.map(|BodySpool { spool, folder }| (spool, folder)).unzip();
-    let query_classes = host_settings.query_classes.clone();
+    let query_classes = shared.settings.query_classes.clone();
     router_host.body_store = Some(BodyStore::new(config.limits.clone(), spool, query_classes));
     Ok(folder)
 }
@@ -306,10 +320,11 @@
     name: &str,
     deployment: &Deployment,
     test_doubles: TestDoubles,
-    handle: &EventLoopHandle,
+    shared: &SharedByConnections,
 ) -> Result<(), ConfigError> {
     let tenants = router_host.tenants();
-    let control_plane = ControlPlaneClient::start(config, name, deployment, &tenants, test_doubles, handle)?;
+    let control_plane =
+        ControlPlaneClient::start(config, name, deployment, &tenants, test_doubles, shared.handle)?;
     router_host.upstream.gate = Some(control_plane.gate.clone());
     router_host.control_plane = Some(control_plane);
     Ok(())
--- a/crates/dunepond-broker/src/lib.rs
+++ b/crates/dunepond-broker/src/lib.rs
@@ -31,6 +31,7 @@
 mod run_id;
 mod search_api;
 mod signals;
+mod socket_buffers;
 mod upstream;
 
 pub use control_plane::check as check_fleet;
--- a/crates/dunepond-broker/src/prefilter_connections.rs
+++ b/crates/dunepond-broker/src/prefilter_connections.rs
@@ -19,6 +19,7 @@
 use crate::frames::{self, NodeFrame};
 use crate::iteration::{EventLoopHandle, LoopEvent, watch};
 use crate::read_turn::{ReadTurn, Received, UnfinishedConnection, UnfinishedTurns};
+use crate::socket_buffers::SocketBuffers;
 use crate::upstream::open;
 
 #[cfg(test)]
@@ -65,6 +66,8 @@
     connections: Slab<PrefilterConnection>,
     by_node: HashMap<NodeId, usize>,
     max_connections: usize,
+    /// The sizes of the system's buffers for connections that are opened.
+    pub socket_buffers: SocketBuffers,
     /// Queues connections for another turn.
     unfinished_turns: UnfinishedTurns,
     settings: Rc<HostSettings>,
@@ -92,6 +95,7 @@
             connections,
             by_node,
             max_connections,
+            socket_buffers: SocketBuffers::default(),
             unfinished_turns: unfinished_turns.clone(),
             settings,
             responses,
@@ -151,7 +155,7 @@
         if self.connections.len() >= self.max_connections {
             return Err(ConnectionEnd::LocalResources);
         }
-        let stream = Rc::new(open(address)?);
+        let stream = Rc::new(open(address, self.socket_buffers)?);
         let entry = self.connections.vacant_entry();
         let id = entry.key();
         let token = watch(&self.handle, &stream, move |readable| LoopEvent::PrefilterReady(id, readable));
--- a/crates/dunepond-broker/src/upstream/connection.rs
+++ b/crates/dunepond-broker/src/upstream/connection.rs
@@ -15,6 +15,7 @@
 use crate::connection_end::ConnectionEnd;
 use crate::http::ResponseReader;
 use crate::iteration::{LoopEvent, watch};
+use crate::socket_buffers::SocketBuffers;
 
 /// Share of the configured idle timeout after which the broker closes an idle connection. It is below 1 so that no
 /// frame is in transit when the node closes the connection: the margin covers the transit time and a late timer. A
@@ -24,11 +25,12 @@
 /// Starts a non-blocking connect to `address`; the event loop reports later whether it succeeds.
 ///
 /// Fails if the process lacks a file descriptor or another local resource, or if the peer refuses at once.
-pub fn open(address: SocketAddr) -> Result<TcpStream, ConnectionEnd> {
+pub fn open(address: SocketAddr, buffers: SocketBuffers) -> Result<TcpStream, ConnectionEnd> {
     let start = || -> io::Result<Socket> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
+        buffers.apply(&socket);
         Ok(socket)
     };
     let resource_error = |e: io::Error| match e.raw_os_error() {
@@ -61,7 +63,8 @@
         if self.connections.len() >= self.max_connections && !self.close_longest_idle(now, timers) {
             return Err(ConnectionEnd::LocalResources);
         }
-        let (stream, uses_search_api) = (Rc::new(open(address)?), self.uses_search_api(node));
+        let (stream, uses_search_api) =
+            (Rc::new(open(address, self.socket_buffers)?), self.uses_search_api(node));
         let entry = self.connections.vacant_entry();
         let id = entry.key();
         let token = watch(&self.handle, &stream, move |readable| LoopEvent::UpstreamReady(id, readable));
--- a/crates/dunepond-broker/src/upstream/mod.rs
+++ b/crates/dunepond-broker/src/upstream/mod.rs
@@ -33,6 +33,7 @@
 use crate::http::ResponseReader;
 use crate::iteration::EventLoopHandle;
 use crate::read_turn::UnfinishedTurns;
+use crate::socket_buffers::SocketBuffers;
 pub use connection::open;
 use finished_ids::FinishedIds;
 
@@ -183,6 +184,8 @@
     pub evicted_for_memory: u64,
     nodes: Vec<NodeEntry>,
     connections: Slab<NodeConnection>,
+    /// The sizes of the system's buffers for connections that are opened.
+    pub socket_buffers: SocketBuffers,
     /// Limit on the number of connections to all nodes.
     max_connections: usize,
     /// The connections that get another turn in the next iteration.
@@ -371,6 +374,7 @@
             nodes: Vec::new(),
             connections: Slab::new(),
             max_connections,
+            socket_buffers: SocketBuffers::default(),
             idle: BTreeMap::new(),
             settings,
             nodes_to_flush: Vec::new(),
--- a/crates/dunepond-routing/src/policy/memory.rs
+++ b/crates/dunepond-routing/src/policy/memory.rs
@@ -11,9 +11,9 @@
 /// Memory of a connection besides its buffers: the system's objects and the process's records.
 const CONNECTION_BYTES: f64 = 6.0 * 1024.0;
 /// The least that the operating system may hold for one direction of a connection, in bytes.
-const MIN_SOCKET_BUFFER_BYTES: f64 = 8.0 * 1024.0;
+const MIN_SOCKET_BUFFER_BYTES: f64 = 6.0 * 1024.0;
 /// The most that it may hold, in bytes: a longer message is sent in several steps.
-const MAX_SOCKET_BUFFER_BYTES: f64 = 128.0 * 1024.0;
+const MAX_SOCKET_BUFFER_BYTES: f64 = 256.0 * 1024.0;
 /// Share of the memory without the program's for connections and the system's buffers for them.
 const CONNECTIONS_RATIO: f64 = 0.5;
 /// Share for copies that exist for a moment, and for what the allocator keeps.
@@ -27,6 +27,10 @@
 const BODIES_WEIGHT: f64 = 6.0;
 const PREFILTER_WEIGHT: f64 = 1.0;
 const CONTROL_PLANE_WEIGHT: f64 = 4.0;
+/// Share of the prefilter's memory for the texts of audits; the rest is for what nodes have answered.
+const AUDIT_TEXTS_RATIO: f64 = 0.5;
+/// Memory of the answers that the prefilter remembers for a text and a segment, in bytes.
+const PREFILTER_ENTRY_BYTES: f64 = 256.0;
 /// New queries are admitted up to this part of the share for queries. The rest is for answers that are larger than was expected
 /// when their queries were admitted.
 const ADMISSION_RATIO: f64 = 0.75;
@@ -128,6 +132,16 @@
         if self.uses.prefilter { PREFILTER_WEIGHT * self.weight_bytes } else { 0.0 }
     }
 
+    /// Returns how many pairs of a text and a segment the prefilter remembers at the most.
+    pub fn max_prefilter_entries(&self) -> usize {
+        ((1.0 - AUDIT_TEXTS_RATIO) * self.prefilter_bytes() / PREFILTER_ENTRY_BYTES) as usize
+    }
+
+    /// Returns the limit on the texts that are kept for audits, in bytes.
+    pub fn max_audit_text_bytes(&self) -> usize {
+        (AUDIT_TEXTS_RATIO * self.prefilter_bytes()) as usize
+    }
+
     /// Returns the limit on the messages between brokers, in bytes.
     pub fn control_plane_bytes(&self) -> f64 {
         if self.uses.control_plane { CONTROL_PLANE_WEIGHT * self.weight_bytes } else { 0.0 }
