Fleet: messages between brokers keep to a share of the memory limit

Found on a related path: with a fleet enabled, any sender that reached a broker's port could make it receive bodies of 64 MiB together, and as much again waited for the control loop, whatever the limit on memory; so could 128 connections.

Not tried with hostile senders at a running broker.

--- a/crates/dunepond-broker/src/control_plane/startup.rs
+++ b/crates/dunepond-broker/src/control_plane/startup.rs
@@ -23,12 +23,14 @@
         name: &str,
         deployment: &Deployment,
         tenants: &[String],
+        max_message_memory_bytes: usize,
         test_doubles: TestDoubles,
         handle: &EventLoopHandle,
     ) -> Result<Self, ConfigError> {
         let quotas = config.quotas.as_ref().map(|limits| Quotas::new(limits, deployment, tenants));
         let quotas = quotas.transpose()?;
-        let thread_config = control_plane_config(config, name, deployment, quotas.as_ref());
+        let thread_config =
+            control_plane_config(config, name, deployment, quotas.as_ref(), max_message_memory_bytes);
         let on_change = register_change_events(handle)?;
         let thread = dunepond_control_plane::start(thread_config, test_doubles, on_change)
             .map_err(|e| to_config_error(&e))?;
@@ -79,6 +81,7 @@
     name: &str,
     deployment: &Deployment,
     quotas: Option<&Quotas>,
+    max_message_memory_bytes: usize,
 ) -> ControlPlaneConfig {
     let known = config
         .voters
@@ -114,6 +117,7 @@
             default_link_rate: moves.default_link_bytes_per_second,
         }),
         query_class_count: deployment.query_classes.len(),
+        max_message_memory_bytes,
         seed: deployment.seed,
     }
 }
--- a/crates/dunepond-broker/src/event_loop/startup.rs
+++ b/crates/dunepond-broker/src/event_loop/startup.rs
@@ -323,8 +323,16 @@
     shared: &SharedByConnections,
 ) -> Result<(), ConfigError> {
     let tenants = router_host.tenants();
-    let control_plane =
-        ControlPlaneClient::start(config, name, deployment, &tenants, test_doubles, shared.handle)?;
+    let memory_bytes = shared.memory_limits.control_plane_bytes() as usize;
+    let control_plane = ControlPlaneClient::start(
+        config,
+        name,
+        deployment,
+        &tenants,
+        memory_bytes,
+        test_doubles,
+        shared.handle,
+    )?;
     router_host.upstream.gate = Some(control_plane.gate.clone());
     router_host.control_plane = Some(control_plane);
     Ok(())
--- a/crates/dunepond-control-plane/src/config.rs
+++ b/crates/dunepond-control-plane/src/config.rs
@@ -44,6 +44,8 @@
     /// Number of query classes. In a configuration version, lists with an entry for each query class must have this
     /// length.
     pub query_class_count: usize,
+    /// Memory for messages between brokers, in bytes: those being received, those being sent and those that wait.
+    pub max_message_memory_bytes: usize,
     /// Seed of the random number generator, combined with the broker's name and incarnation.
     pub seed: u64,
 }
--- a/crates/dunepond-control-plane/tests/control_loop.rs
+++ b/crates/dunepond-control-plane/tests/control_loop.rs
@@ -37,6 +37,7 @@
         slow_start: None,
         quotas: None,
         rebalancing: None,
+        max_message_memory_bytes: 1 << 30,
         query_class_count: 1,
         seed: 7,
     }
--- a/crates/dunepond-control-plane/tests/fills.rs
+++ b/crates/dunepond-control-plane/tests/fills.rs
@@ -130,6 +130,7 @@
                 window_seconds: 1.0,
             }),
             rebalancing: None,
+            max_message_memory_bytes: 1 << 30,
             query_class_count: 1,
             seed: 7,
         };
--- a/crates/dunepond-control-plane/tests/rebalancing.rs
+++ b/crates/dunepond-control-plane/tests/rebalancing.rs
@@ -92,6 +92,7 @@
                 settle_seconds: 0.0,
                 default_link_rate: None,
             }),
+            max_message_memory_bytes: 1 << 30,
             query_class_count: 1,
             seed: 7,
         };
