Bodies: what bodies may take is bounded by the memory limit, whatever the operator allows

The operator's limit on bodies counts all memory of requests, but only while a body is admitted: buffers, queries and answers grew afterwards, and with a limit of 48 MiB in a process of 32 MB nothing kept it. Change: bodies, with the writes that are left of released ones, have a share of the process's limit of their own, whatever the operator's file allows.

--- a/crates/dunepond-body-buffer/src/manager/mod.rs
+++ b/crates/dunepond-body-buffer/src/manager/mod.rs
@@ -25,6 +25,8 @@
     other_usage: BTreeMap<OtherUsage, u64>,
     spill_state: SpillState,
     peak_memory_bytes: u64,
+    /// What bodies alone may take of the memory, in bytes, with the writes that are left of released ones.
+    max_total_body_bytes: u64,
     fallback_counts: BTreeMap<FallbackKey, u64>,
 }
 
@@ -96,6 +98,7 @@
             other_usage: BTreeMap::new(),
             spill_state: SpillState::Available,
             peak_memory_bytes: 0,
+            max_total_body_bytes: u64::MAX,
             fallback_counts: BTreeMap::new(),
         }
     }
@@ -110,6 +113,11 @@
         self.limits = limits;
     }
 
+    /// Sets what bodies alone may take of the memory, in bytes, if that is less than the limits allow.
+    pub fn set_max_total_body_bytes(&mut self, bytes: u64) {
+        self.max_total_body_bytes = bytes;
+    }
+
     /// Memory in bytes reserved for a body; 0 if the body is unknown.
     pub fn reserved_memory(&self, id: BodyId) -> u64 {
         self.bodies.get(&id).map_or(0, |body| body.memory_bytes)
@@ -195,6 +203,11 @@
     /// Checks whether `additional_bytes` fit into `ratio` of the memory limit, and into the shares of that memory that
     /// the body's tenant and query class may use.
     fn check_memory(&self, ratio: f64, owner: Owner, additional_bytes: u64) -> Result<(), FallbackReason> {
+        let pending_writes = self.other_usage.get(&OtherUsage::PendingWrites).copied().unwrap_or(0);
+        let body_bytes = self.memory.total() + pending_writes;
+        if (body_bytes + additional_bytes) as f64 > ratio * self.max_total_body_bytes as f64 {
+            return Err(MEMORY_FULL.tier);
+        }
         let load = TierLoad {
             usage: &self.memory,
             used_bytes: self.used_memory(),
--- a/crates/dunepond-broker/src/body_store.rs
+++ b/crates/dunepond-broker/src/body_store.rs
@@ -62,9 +62,17 @@
 
 impl BodyStore {
     /// Creates a store without bodies. Without `spool` no body is written to a file.
-    pub fn new(limits: BufferLimits, spool: Option<Spool>, query_classes: Vec<String>) -> Self {
+    /// `max_body_bytes` is what bodies may take of the process's memory, whatever the limits allow.
+    pub fn new(
+        limits: BufferLimits,
+        max_body_bytes: u64,
+        spool: Option<Spool>,
+        query_classes: Vec<String>,
+    ) -> Self {
+        let mut manager = BufferManager::new(limits);
+        manager.set_max_total_body_bytes(max_body_bytes);
         Self {
-            manager: BufferManager::new(limits),
+            manager,
             spool,
             tracked: HashMap::new(),
             dropped: DroppedBodies::default(),
--- a/crates/dunepond-broker/src/event_loop/startup.rs
+++ b/crates/dunepond-broker/src/event_loop/startup.rs
@@ -308,7 +308,9 @@
     let spool = start_body_spool(config, replacement, shared.handle)?;
     let (spool, folder) = spool.map(|BodySpool { spool, folder }| (spool, folder)).unzip();
     let query_classes = shared.settings.query_classes.clone();
-    router_host.body_store = Some(BodyStore::new(config.limits.clone(), spool, query_classes));
+    let max_body_bytes = shared.memory_limits.body_bytes() as u64;
+    router_host.body_store =
+        Some(BodyStore::new(config.limits.clone(), max_body_bytes, spool, query_classes));
     Ok(folder)
 }
 
