--- a/crates/dunepond-broker/src/event_loop/startup.rs
+++ b/crates/dunepond-broker/src/event_loop/startup.rs
@@ -32,7 +32,7 @@
 use crate::downstream::Downstream;
 use crate::iteration::{EventLoopHandle, LoopEvent, Port, event_channel};
 use crate::persistence::Persistence;
-use crate::prefilter::PrefilterHost;
+use crate::prefilter::{PrefilterHost, PrefilterMemoryLimits};
 use crate::prefilter_connections::PrefilterConnections;
 use crate::read_turn::UnfinishedTurns;
 use crate::router::RouterHost;
@@ -207,7 +207,11 @@
         body_folder = open_body_store(&mut router_host, bodies, replacement, shared)?;
     }
     let config = startup.operator.prefilter.clone();
-    let prefilter = config.map(|config| PrefilterHost::new(config, &startup.deployment));
+    let prefilter_limits = PrefilterMemoryLimits {
+        max_entries: shared.memory_limits.max_prefilter_entries(),
+        max_audit_text_bytes: shared.memory_limits.max_audit_text_bytes(),
+    };
+    let prefilter = config.map(|config| PrefilterHost::new(config, prefilter_limits, &startup.deployment));
     router_host.prefilter_connections = prefilter.is_some().then_some(prefilter_connections);
     if let Some(fleet) = &startup.operator.fleet {
         let test_doubles = std::mem::take(&mut hooks.control_plane);
--- a/crates/dunepond-broker/src/prefilter.rs
+++ b/crates/dunepond-broker/src/prefilter.rs
@@ -61,6 +61,22 @@
     text: Rc<str>,
 }
 
+/// What the prefilter may remember.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefilterMemoryLimits {
+    /// Maximum number of pairs of a text and a segment for which evidence is kept.
+    pub max_entries: usize,
+    /// Maximum length of the texts that are kept for audits, in bytes.
+    pub max_audit_text_bytes: usize,
+}
+
+impl PrefilterMemoryLimits {
+    /// Returns the configuration with no more entries than the limits allow.
+    fn applied_to(&self, config: PrefilterConfig) -> PrefilterConfig {
+        PrefilterConfig { max_entries: config.max_entries.min(self.max_entries), ..config }
+    }
+}
+
 /// Hosts the prefilter on the broker's event loop.
 pub struct PrefilterHost {
     prefilter: Prefilter,
@@ -72,6 +88,9 @@
     queries: HashMap<QueryId, ActiveQuery>,
     /// The most recently pruned queries, for audits. The key is a sequence number.
     audit_texts: BTreeMap<u64, AuditText>,
+    /// Length of these texts in bytes.
+    audit_text_bytes: usize,
+    limits: PrefilterMemoryLimits,
     /// The number of the last entry in `audit_texts`.
     last_audit_text: u64,
     /// The audits in flight, by the query that runs each.
@@ -82,17 +101,19 @@
 
 impl PrefilterHost {
     /// Creates a host without queries and without learned state.
-    pub fn new(config: PrefilterConfig, deployment: &Deployment) -> Self {
+    pub fn new(config: PrefilterConfig, limits: PrefilterMemoryLimits, deployment: &Deployment) -> Self {
         let classes = deployment.query_classes.iter().map(|class| QueryClass {
             idempotent: class.idempotency == Idempotency::Idempotent,
             complete_at: class.complete_at,
         });
         Self {
-            prefilter: Prefilter::new(config, deployment.seed),
+            prefilter: Prefilter::new(limits.applied_to(config), deployment.seed),
+            limits,
             hashes: RandomState::new(),
             query_classes: classes.collect(),
             queries: HashMap::new(),
             audit_texts: BTreeMap::new(),
+            audit_text_bytes: 0,
             last_audit_text: 0,
             audits: HashMap::new(),
             timer: None,
@@ -101,7 +122,17 @@
 
     /// Changes the configuration and keeps the learned state.
     pub fn reconfigure(&mut self, config: PrefilterConfig) {
-        self.prefilter.reconfigure(config);
+        self.prefilter.reconfigure(self.limits.applied_to(config));
+    }
+
+    /// Forgets the oldest texts if there are more of them, or of their bytes, than may be.
+    fn forget_old_audit_texts(&mut self) {
+        while self.audit_texts.len() > MAX_AUDIT_TEXTS
+            || self.audit_text_bytes > self.limits.max_audit_text_bytes
+        {
+            let Some((_, forgotten)) = self.audit_texts.pop_first() else { return };
+            self.audit_text_bytes -= forgotten.text.len();
+        }
     }
 
     /// Starts a query. If it is eligible for the prefilter phase and the router admits it, prefilter requests are
@@ -160,14 +191,13 @@
             debug!("query {}: {} shards pruned by the prefilter", plan.query, plan.pruned.len());
             self.last_audit_text += 1;
             let (key, query_class, text) = (active.key, active.query_class, active.text.clone());
+            self.audit_text_bytes += text.len();
             self.audit_texts.insert(self.last_audit_text, AuditText { key, query_class, text });
-            while self.audit_texts.len() > MAX_AUDIT_TEXTS {
-                self.audit_texts.pop_first();
-            }
         }
         let position =
             |pruned: &PrunedSegment| active.segments.iter().position(|segment| *segment == pruned.segment);
         let parts: Vec<_> = plan.pruned.iter().filter_map(position).collect();
+        self.forget_old_audit_texts();
         router_host.prune(plan.query, plan.pruned.clone());
         router.on_prefilter_result(router_host, plan.query, &parts);
     }
--- a/crates/dunepond-broker/src/router/admission.rs
+++ b/crates/dunepond-broker/src/router/admission.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use dunepond_routing::{Part, Query, QueryId};
+use dunepond_routing::{Part, Query, QueryId, query_record_bytes};
 use dunepond_search_api::{ApiError, ApiRequest, Search, response};
 use tracing::debug;
 
@@ -155,7 +155,8 @@
         let body_retained = !body.is_some_and(|body| body.is_pass_through());
         let body = body.map(|body| body.id);
         let timer = self.timers.schedule(expires_at, TimerEvent::QueryDeadline(query));
-        let stored_bytes = if body.is_none() { request.payload.length() } else { 0 };
+        let text_bytes = if body.is_none() { request.payload.length() } else { 0 };
+        let stored_bytes = text_bytes + query_record_bytes(part_count, request.request_id.len());
         self.memory.add(stored_bytes);
         let active = ActiveQuery {
             search,
