Memory: buffers of clients grow only for what is looked at, and all unread responses count

Change: the last read does not grow a buffer; all unread responses count; the first buffer of a connection, 2 KiB, belongs to the connection's share, only grown ones are limited.

--- a/crates/dunepond-broker/src/buffers.rs
+++ b/crates/dunepond-broker/src/buffers.rs
@@ -10,8 +10,11 @@
 
 /// The size of the largest buffer. The longest frame, and the longest body that is not streamed, fit into one buffer.
 pub const BUFFER_BYTES: usize = 64 * 1024;
-/// The sizes of buffers in bytes. A full buffer is replaced by one of the next size.
-const SIZES: [usize; 3] = [4 * 1024, 16 * 1024, BUFFER_BYTES];
+/// The sizes of buffers in bytes. A full buffer is replaced by one of the next size. Those of the first size are not limited, as
+/// each connection may have one.
+const SIZES: [usize; 3] = [2 * 1024, 16 * 1024, BUFFER_BYTES];
+/// The size of a buffer that has grown once, in bytes.
+pub const FIRST_GROWN_BYTES: usize = SIZES[1];
 /// Size from which the allocator takes a block from the system by itself.
 #[cfg(all(target_os = "linux", target_env = "gnu"))]
 const LARGE_BLOCK_BYTES: libc::c_int = 32 * 1024;
@@ -37,6 +40,8 @@
     free: [Vec<Box<[u8]>>; SIZES.len()],
     free_bytes: usize,
     in_use_bytes: usize,
+    /// The part of it that is limited: buffers that have grown.
+    grown_bytes: usize,
     read_bytes: u64,
 }
 
@@ -54,7 +59,7 @@
 }
 
 impl Pool {
-    /// Creates a pool whose buffers are to take `limit_bytes` at the most.
+    /// Creates a pool whose grown buffers are to take `limit_bytes` at the most.
     pub fn with_limit(limit_bytes: usize) -> Self {
         Self { state: Rc::default(), limit_bytes }
     }
@@ -68,6 +73,7 @@
     fn take(&self, size: usize) -> Box<[u8]> {
         let mut state = self.state.borrow_mut();
         state.in_use_bytes += SIZES[size];
+        state.grown_bytes += grown_bytes(SIZES[size]);
         match state.free[size].pop() {
             Some(bytes) => {
                 state.free_bytes -= bytes.len();
@@ -81,6 +87,7 @@
     fn put_back(&self, bytes: Box<[u8]>) {
         let mut state = self.state.borrow_mut();
         state.in_use_bytes -= bytes.len();
+        state.grown_bytes -= grown_bytes(bytes.len());
         if state.free_bytes + bytes.len() <= MAX_FREE_BYTES
             && let Some(size) = SIZES.iter().position(|size| *size == bytes.len())
         {
@@ -89,9 +96,9 @@
         }
     }
 
-    /// Whether buffers of `additional_bytes` more fit into this share of the limit (0 to 1).
+    /// Whether `additional_bytes` of grown buffers fit into this share of the limit (0 to 1).
     pub fn has_room(&self, additional_bytes: usize, share: f64) -> bool {
-        (self.in_use_bytes() + additional_bytes) as f64 <= share * self.limit_bytes as f64
+        (self.state.borrow().grown_bytes + additional_bytes) as f64 <= share * self.limit_bytes as f64
     }
 
     /// Returns the size of the buffers in use, in bytes.
@@ -134,21 +141,26 @@
     }
 }
 
-/// Returns by how many bytes the next read into `buffer` increases the buffers in use: none if the buffer has room or has the
+/// Returns what counts towards a pool's limit of a buffer of this size.
+fn grown_bytes(size: usize) -> usize {
+    if size > SIZES[0] { size } else { 0 }
+}
+
+/// Returns by how many bytes the next read into `buffer` increases the grown buffers: none if the buffer has room or has the
 /// largest size.
 pub fn bytes_for_next_read(buffer: Option<&Buffer>) -> usize {
     match buffer {
-        None => SIZES[0],
+        None => 0,
         Some(buffer) if buffer.end < buffer.bytes.len() || buffer.start > 0 => 0,
-        Some(buffer) => buffer.next_size().map_or(0, |size| SIZES[size] - buffer.bytes.len()),
+        Some(buffer) => buffer.next_size().map_or(0, |size| SIZES[size] - grown_bytes(buffer.bytes.len())),
     }
 }
 
-/// Returns by how many bytes the buffers in use increase if `count` bytes are appended to `buffer`.
+/// Returns by how many bytes the grown buffers increase if `count` bytes are appended to `buffer`.
 pub fn bytes_to_append(buffer: Option<&Buffer>, count: usize) -> usize {
     let (end, allocated) = buffer.map_or((0, 0), |buffer| (buffer.end, buffer.bytes.len()));
     let needed = SIZES.iter().find(|size| **size >= end + count).unwrap_or(&BUFFER_BYTES);
-    needed.saturating_sub(allocated)
+    grown_bytes(*needed).saturating_sub(grown_bytes(allocated))
 }
 
 /// A buffer for bytes that were read or wait to be written, which grows as it fills; goes back to its pool when it is dropped.
@@ -189,6 +201,11 @@
         }
     }
 
+    /// Returns what counts towards the pool's limit, in bytes.
+    pub fn grown_bytes(&self) -> usize {
+        grown_bytes(self.bytes.len())
+    }
+
     /// Returns the memory of the buffer in bytes.
     pub fn allocated_bytes(&self) -> usize {
         self.bytes.len()
--- a/crates/dunepond-broker/src/buffers/tests/mod.rs
+++ b/crates/dunepond-broker/src/buffers/tests/mod.rs
@@ -80,8 +80,10 @@
     let mut stream = &vec![7; BUFFER_BYTES][..];
     let mut sizes = Vec::new();
     while !buffer.is_full() {
+        let grown = pool.state.borrow().grown_bytes + bytes_for_next_read(Some(&buffer));
         assert!(pool.has_room(bytes_for_next_read(Some(&buffer)), 1.0));
         buffer.read_from(&mut stream).unwrap();
+        assert_eq!(pool.state.borrow().grown_bytes, grown);
         sizes.push(pool.in_use_bytes());
     }
     assert_eq!(sizes, SIZES);
--- a/crates/dunepond-broker/src/downstream/closing.rs
+++ b/crates/dunepond-broker/src/downstream/closing.rs
@@ -14,6 +14,7 @@
 use super::accept::{LISTEN_BACKLOG, MAX_ACCEPTS_PER_ITERATION};
 use super::timeouts::REQUEST_TIMEOUT_SECONDS;
 use super::{ClientConnection, Downstream, RequestPhase};
+use crate::buffers::bytes_for_next_read;
 use crate::clock::{TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::iteration::Port;
@@ -153,7 +154,10 @@
         let mut input = client.input.take().unwrap_or_else(|| self.pool.acquire());
         let before = input.filled().len();
         let read = loop {
-            match input.read_from(&*client.stream) {
+            // A buffer without room does not grow for this: that more has arrived is enough to know.
+            let has_room = bytes_for_next_read(Some(&input)) == 0;
+            let read = if has_room { input.read_from(&*client.stream) } else { client.stream.peek(&mut [0]) };
+            match read {
                 _ if input.is_full() => break Ok(1),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 read => break read,
--- a/crates/dunepond-broker/src/downstream/mod.rs
+++ b/crates/dunepond-broker/src/downstream/mod.rs
@@ -279,13 +279,13 @@
         }
     }
 
-    /// Returns the memory of the buffers that hold what the client has sent of its request, in bytes.
+    /// Returns the memory of the grown buffers that hold what the client has sent of its request, in bytes.
     fn buffer_bytes(&self) -> usize {
         let body = match &self.phase {
             RequestPhase::ReadingBody(message) => message.body.as_ref(),
             _ => None,
         };
-        self.input.iter().chain(&self.read_ahead).chain(body).map(Buffer::allocated_bytes).sum()
+        self.input.iter().chain(&self.read_ahead).chain(body).map(Buffer::grown_bytes).sum()
     }
 
     /// Returns by how many bytes the buffers increase with the next read: the input buffer, and that of the body into which its
@@ -293,7 +293,7 @@
     fn bytes_for_next_read(&self) -> usize {
         let input_bytes = bytes_for_next_read(self.input.as_ref());
         let RequestPhase::ReadingBody(message) = &self.phase else { return input_bytes };
-        let moved = input_bytes + self.input.as_ref().map_or(0, Buffer::allocated_bytes);
+        let moved = input_bytes.max(self.input.as_ref().map_or(0, Buffer::allocated_bytes));
         input_bytes + bytes_to_append(message.body.as_ref(), moved)
     }
 
--- a/crates/dunepond-broker/src/downstream/response.rs
+++ b/crates/dunepond-broker/src/downstream/response.rs
@@ -91,20 +91,28 @@
 
     /// Returns how many bytes of responses are not written, as their clients do not read them.
     pub fn unread_bytes(&self) -> usize {
-        self.delivering.values().map(|id| self.connections[*id].output.pending_bytes()).sum()
+        self.connections.iter().map(|(_, client)| client.output.pending_bytes()).sum()
     }
 
     /// Has the connections of the slowest readers closed, if the responses that are not written take more memory than they
     /// may.
     fn disconnect_slow_readers(&mut self) {
         let mut excess_bytes = self.unread_bytes().saturating_sub(self.max_unread_bytes);
+        // A client that has left responses unread may have another request in flight, whose time runs then.
+        let is_delivering =
+            |client: &ClientConnection| client.timer.is_some_and(|key| self.delivering.contains_key(&key));
+        let in_flight =
+            self.connections.iter().filter(|(_, client)| !is_delivering(client)).map(|(id, _)| id);
         let mut slowest = Vec::new();
-        for id in self.delivering.values().copied() {
+        for id in self.delivering.values().copied().chain(in_flight) {
             if excess_bytes == 0 {
                 break;
             }
-            excess_bytes = excess_bytes.saturating_sub(self.connections[id].output.pending_bytes());
-            slowest.push(id);
+            let pending_bytes = self.connections[id].output.pending_bytes();
+            if pending_bytes > 0 {
+                excess_bytes = excess_bytes.saturating_sub(pending_bytes);
+                slowest.push(id);
+            }
         }
         for id in slowest {
             let client = &mut self.connections[id];
@@ -127,7 +135,7 @@
         }
         let (all_written, keep_alive, timer) = (client.output.is_empty(), client.keep_alive, client.timer);
         match client.phase {
-            _ if !all_written && timer.is_some() => {}
+            _ if !all_written && timer.is_some() => self.disconnect_slow_readers(),
             _ if !all_written => {
                 let key = self.set_timer(id, now + self.max_delivery_seconds(), timers);
                 self.delivering.insert(key, id);
--- a/crates/dunepond-broker/src/http/response.rs
+++ b/crates/dunepond-broker/src/http/response.rs
@@ -47,6 +47,11 @@
         Ok(if is_complete { self.finish() } else { None })
     }
 
+    /// Returns what has been read of the present response's body; `None` if there is nothing.
+    pub fn body(&self) -> Option<&Buffer> {
+        self.message.as_ref()?.body.as_ref()
+    }
+
     /// Whether a part of a response has been read, and not all of it.
     pub fn has_partial_response(&self) -> bool {
         self.message.is_some() || self.interim_bytes > 0
--- a/crates/dunepond-routing/src/policy/memory.rs
+++ b/crates/dunepond-routing/src/policy/memory.rs
@@ -8,8 +8,8 @@
 const PROGRAM_BYTES: f64 = 8.0 * 1024.0 * 1024.0;
 /// Share of the limit that is divided at least, where the limit is hardly above the program's memory and cannot be kept.
 const MIN_AVAILABLE_RATIO: f64 = 0.5;
-/// Memory of a connection besides its buffers: the system's objects and the process's records.
-const CONNECTION_BYTES: f64 = 6.0 * 1024.0;
+/// Memory of a connection besides the system's buffers: the system's objects, the process's records and a buffer of the first size.
+const CONNECTION_BYTES: f64 = 8.0 * 1024.0;
 /// The least that the operating system may hold for one direction of a connection, in bytes.
 const MIN_SOCKET_BUFFER_BYTES: f64 = 6.0 * 1024.0;
 /// The most that it may hold, in bytes: a longer message is sent in several steps.
