Memory: bodies are read into the largest buffer again, as they are moved on at once

Cause: since buffers begin small, a body whose bytes are moved on after each read was read by 2 KiB at a time, and four reads are a turn. Change: what is moved on at once is read into a buffer of the largest size where there is room; it is given back as soon as it is empty.

--- a/crates/dunepond-broker/src/buffers.rs
+++ b/crates/dunepond-broker/src/buffers.rs
@@ -69,6 +69,13 @@
         Buffer { bytes: self.take(0), start: 0, end: 0, pool: self.clone() }
     }
 
+    /// Returns an empty buffer for bytes that are moved elsewhere as they are read: of the largest size if there is room for it, so
+    /// that few reads are needed, or else of the smallest.
+    pub fn acquire_for_body(&self) -> Buffer {
+        let size = if self.has_room(BUFFER_BYTES, 1.0) { SIZES.len() - 1 } else { 0 };
+        Buffer { bytes: self.take(size), start: 0, end: 0, pool: self.clone() }
+    }
+
     /// Returns a block of the size with this index.
     fn take(&self, size: usize) -> Box<[u8]> {
         let mut state = self.state.borrow_mut();
--- a/crates/dunepond-broker/src/discovery/mod.rs
+++ b/crates/dunepond-broker/src/discovery/mod.rs
@@ -287,7 +287,7 @@
                 }
             }
             let call = &mut self.calls[at];
-            let input = call.input.get_or_insert_with(|| self.pool.acquire());
+            let input = call.input.get_or_insert_with(|| self.pool.acquire_for_body());
             let reason = match turn.read(input, &*call.stream) {
                 // A response without a length is complete when the agent closes the connection.
                 Ok(Received::End) if call.responses.finish_at_close() => continue,
--- a/crates/dunepond-broker/src/downstream/read.rs
+++ b/crates/dunepond-broker/src/downstream/read.rs
@@ -97,6 +97,7 @@
             let client = &mut self.connections[id];
             if client.reads_in_turn == MAX_READS_PER_TURN {
                 client.reading_paused = true;
+                client.release_empty_input();
                 timers.schedule(now + RESUME_READING_SECONDS, TimerEvent::ClientResume(id));
                 return ClientEvent::Nothing;
             }
@@ -155,7 +156,10 @@
         let received = if matches!(client.phase, RequestPhase::Lingering) {
             (&*client.stream).read(&mut self.discarded)
         } else {
-            let input = client.input.get_or_insert_with(|| self.pool.acquire());
+            let is_body =
+                matches!(client.phase, RequestPhase::ReadingBody(_) | RequestPhase::StreamingBody(_));
+            let acquire = || if is_body { self.pool.acquire_for_body() } else { self.pool.acquire() };
+            let input = client.input.get_or_insert_with(acquire);
             read(input, &mut client.read_ahead, &mut client.arrivals, &client.stream, received_at)
         };
         match received {
--- a/crates/dunepond-broker/src/upstream/response.rs
+++ b/crates/dunepond-broker/src/upstream/response.rs
@@ -56,7 +56,9 @@
             }
             let connection = &mut self.connections[id];
             let write_failure = connection.write_failure;
-            let input = connection.input.get_or_insert_with(|| self.pools.nodes.acquire());
+            let (pool, is_body) = (&self.pools.nodes, connection.responses.has_partial_response());
+            let acquire = || if is_body { pool.acquire_for_body() } else { pool.acquire() };
+            let input = connection.input.get_or_insert_with(acquire);
             let connection_end = match turn.read(input, &*connection.stream) {
                 // A close completes a search API response without a length. After a failed write it does not: once a
                 // reset has been reported, later reads look like an ordinary close.
