Review: a crowd has a half-read answer reset

Need: an independent review; a fault is shown and not fixed. Cause: a connection whose answer is in the system's send buffer counts as idle. At the limit of connections the longest lingering one is closed with what its client has not got yet.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 //! the rule was broken, with 0 if it held, and with 2 if the case could not run. With `TROUBLE=0` in the environment it does
 //! the same without the disruption.
 
+mod crowd;
 mod hidden_request;
 mod stand_ins;
 
@@ -28,6 +29,7 @@
     };
     let verdict = match name.as_str() {
         "hidden-request" => hidden_request::play(&case),
+        "crowd" => crowd::play(&case),
         _ => Err(format!("no case {name}").into()),
     };
     let (line, code) = match verdict {
