Review: searches go to a node that a plan has moved a segment from

Cause: the broker sends parts that may be repeated to the nodes that discovery's replica groups name. The replicas of the agreed shard map are not read, so a migration does not reach searches. Change: case 8 of the review, a plan with one move in a fleet of three brokers over a stand-in store, and the stand-ins for it.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 
 mod crowd;
 mod hidden_request;
+mod moved_segment;
 mod stand_ins;
 
 use std::path::Path;
@@ -29,6 +30,7 @@
     };
     let verdict = match name.as_str() {
         "hidden-request" => hidden_request::play(&case),
+        "moved-segment" => moved_segment::play(&case),
         "crowd" => crowd::play(&case),
         _ => Err(format!("no case {name}").into()),
     };
--- a/review/standins-2/stand_ins.rs
+++ b/review/standins-2/stand_ins.rs
@@ -1,5 +1,6 @@
 //! Discovery, nodes and broker processes, as the protocol page describes them, and the record of a case.
 
+use std::collections::HashMap;
 use std::error::Error;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -70,6 +71,34 @@
     pub segment: u64,
 }
 
+/// What the nodes of a store hold, and who holds which segment. Writes reach the holders that the segment has at that
+/// moment; a node keeps what it had when it was dropped.
+#[derive(Default)]
+pub struct Store {
+    /// The nodes that hold a segment.
+    pub holders: HashMap<u64, Vec<String>>,
+    /// The last write of each segment.
+    pub written: HashMap<u64, u64>,
+    /// The last write that a node has of a segment.
+    pub at_node: HashMap<(String, u64), u64>,
+}
+
+impl Store {
+    /// Runs a part at a node: `write` writes, everything else reads.
+    fn run(&mut self, node: &str, segment: u64, text: &str) -> String {
+        if text != "write" {
+            let seen = self.at_node.get(&(node.to_string(), segment)).copied().unwrap_or(0);
+            return format!("revision {seen} at {node}");
+        }
+        let revision = self.written.get(&segment).copied().unwrap_or(0) + 1;
+        self.written.insert(segment, revision);
+        for holder in self.holders.get(&segment).cloned().unwrap_or_default() {
+            self.at_node.insert((holder, segment), revision);
+        }
+        format!("revision {revision} written by {node}")
+    }
+}
+
 /// How a node answers its parts: after how long, and with a value of how many bytes.
 #[derive(Clone, Copy)]
 pub struct Answers {
@@ -84,16 +113,19 @@
     pub address: SocketAddr,
     pub parts: Arc<Mutex<Vec<Part>>>,
     pub answers: Arc<Mutex<Answers>>,
+    /// Where the values come from, if they are more than the text of the part.
+    store: Option<Arc<Mutex<Store>>>,
 }
 
 impl Node {
-    pub fn start(name: &str, log: &Log, answers: Answers) -> io::Result<Self> {
+    pub fn start(name: &str, log: &Log, answers: Answers, store: Option<Arc<Mutex<Store>>>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let node = Self {
             name: name.to_string(),
             address: listener.local_addr()?,
             parts: Arc::default(),
             answers: Arc::new(Mutex::new(answers)),
+            store,
         };
         let (served, log) = (node.clone(), log.clone());
         thread::spawn(move || {
@@ -128,7 +160,13 @@
                 }
                 let answers = self.answers.lock().map(|answers| *answers);
                 let Ok(Answers { after, value_bytes }) = answers else { return Ok(()) };
-                let value = format!("{}: {text}: {}", self.name, "x".repeat(value_bytes));
+                let value = match &self.store {
+                    Some(store) => match store.lock() {
+                        Ok(mut store) => store.run(&self.name, segment, &text),
+                        Err(_) => return Ok(()),
+                    },
+                    None => format!("{}: {text}: {}", self.name, "x".repeat(value_bytes)),
+                };
                 let (out, answer) = (out.clone(), format!("E{id} hit 1 -\n{value}"));
                 thread::spawn(move || {
                     thread::sleep(after);
@@ -176,12 +214,25 @@
 
 /// Number of replica groups of the small deployment; it has one node for each.
 pub const CELLS: usize = 12;
+/// Number of nodes that hold a segment: that of its replica group and of the next ones.
+pub const SPAN: usize = 3;
+/// Number of segments; they are dealt to the replica groups in turn.
+pub const SEGMENTS: usize = 24;
 
 /// Starts the nodes of the small deployment and returns them with the rows that discovery tells.
 pub fn start_nodes(log: &Log, answers: Answers) -> io::Result<(Vec<Node>, Vec<String>)> {
+    start_nodes_of(log, answers, None)
+}
+
+/// Starts the nodes of the small deployment over a store.
+pub fn start_nodes_of(
+    log: &Log,
+    answers: Answers,
+    store: Option<Arc<Mutex<Store>>>,
+) -> io::Result<(Vec<Node>, Vec<String>)> {
     let (mut nodes, mut rows) = (Vec::new(), Vec::new());
     for cell in 0..CELLS {
-        let node = Node::start(&format!("s-{cell}"), log, answers)?;
+        let node = Node::start(&format!("s-{cell}"), log, answers, store.clone())?;
         let zone = ["head-office", "north-depot", "pump-station-3"][cell % 3];
         rows.push(format!(
             r#"{{"host":"{}","dial":"{}","site":"{zone}","class":"std-2core","block":{cell},"health":"ready","share":1.0,"born_ms":0}}"#,
@@ -193,9 +244,9 @@
 }
 
 /// The settings of a small deployment of code search.
-fn configuration(listen: SocketAddr, discovery: SocketAddr, sockets: u32) -> String {
+fn configuration(name: &str, listen: SocketAddr, discovery: SocketAddr, sockets: u32) -> String {
     format!(
-        r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{{"seq":0,"whole":true,"hosts":[]}},
 "settings":{{"balancers":3,"countedBy":"request","tickMs":5.0,"index":0,"tier":0,"zone":1,"stages":["index-fleet"],
 "skus":["std-2core"],"zones":["head-office","north-depot","pump-station-3"],"projects":[],"discovery":"pushed",
@@ -204,7 +255,7 @@
 {{"name":"quick-find","semantics":"pure","aimMs":2000.0,"deadlineMs":4000.0,"value":2.0,"lateWorth":0.0,"group":"all","repeatWindowMs":5000.0,"stream":false}},
 {{"name":"full-search","semantics":"pure","aimMs":2000.0,"deadlineMs":6000.0,"value":1.0,"lateWorth":0.3,"group":"all","repeatWindowMs":5000.0,"stream":false}},
 {{"name":"fix-request","semantics":"side_effect","aimMs":2000.0,"deadlineMs":6000.0,"value":2.0,"lateWorth":0.1,"group":"all","repeatWindowMs":5000.0,"stream":false}}],
-"familyInfo":{{"cells":{CELLS},"span":3,"slabs":24,"partsACall":1,"perCallWorkMs":0.0,"wholeAt":[0.6,1.0,1.0],"leastShare":[0.6,1.0,1.0],"secondStep":[0,0,0],"partialEarns":[0.9,0.9,0.9],"warmKeys":false}},
+"familyInfo":{{"cells":{CELLS},"span":{SPAN},"slabs":{SEGMENTS},"partsACall":1,"perCallWorkMs":0.0,"wholeAt":[0.6,1.0,1.0],"leastShare":[0.6,1.0,1.0],"secondStep":[0,0,0],"partialEarns":[0.9,0.9,0.9],"warmKeys":false}},
 "ceilings":{{"attemptsCap":4,"secondCopies":true,"cancel":true,"mayProbe":false,"peers":false,"retryAfter":true,"maxRetryAfterMs":2000.0,"mostHeld":148,"streamsPerConn":32,"connectTimeoutMs":250.0,"idleCloseMs":30000.0}},
 "report":{{"fields":[],"source":"silent"}},
 "rules":{{"answerSlackMs":20.0,"drainGraceMs":2000.0,"coldFrom":0.21,"coldMs":15000.0,"overloadFactor":2.5,"fallMs":1000.0,"repeatRatio":0.05,"budgetWindowMs":2000.0,"freeResends":20.0}}}}}}"#
@@ -229,30 +280,44 @@
 impl Broker {
     /// Starts a broker and waits until it is ready.
     pub fn start(case: &Case, discovery: SocketAddr, sockets: u32) -> Outcome<Self> {
+        let mut broker = Self::spawn("n1", discovery, sockets, "debug", None)?;
+        broker.wait_until_ready(case)?;
+        Ok(broker)
+    }
+
+    /// Starts a broker, with an operator's file if there is one.
+    pub fn spawn(name: &str, discovery: SocketAddr, sockets: u32, log: &str, operator: Option<&Path>) -> Outcome<Self> {
         let deploy = fs::read_to_string("deploy/balancer.toml")?;
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
         let run = run.ok_or("deploy/balancer.toml: no run")?;
-        let unique = format!("dunepond-review-{}", std::process::id());
+        let run = match operator {
+            Some(path) => format!("{run} run --operator '{}'", path.display()),
+            None => run.to_string(),
+        };
+        let unique = format!("dunepond-review-{}-{name}", std::process::id());
         let folder = std::env::temp_dir().join(unique);
         fs::create_dir_all(&folder)?;
         let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let path = folder.join("config.json");
-        fs::write(&path, configuration(address, discovery, sockets))?;
+        fs::write(&path, configuration(name, address, discovery, sockets))?;
         let mut command = Command::new("/bin/sh");
-        command.args(["-c", run]).env("GW_CONFIG", &path).env("TMPDIR", &folder).env("GW_LOG", "debug");
+        command.args(["-c", &run]).env("GW_CONFIG", &path).env("TMPDIR", &folder).env("GW_LOG", log);
         for variable in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY"] {
             command.env_remove(variable);
         }
         let errors = File::create(folder.join("log"))?;
         let process = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(errors).spawn()?;
-        let mut broker = Self { process, address, folder };
+        Ok(Self { process, address, folder })
+    }
+
+    pub fn wait_until_ready(&mut self, case: &Case) -> Outcome<()> {
         for _ in 0..400 {
-            if let Some(status) = broker.process.try_wait()? {
+            if let Some(status) = self.process.try_wait()? {
                 return Err(format!("the broker ended at its start: {status}").into());
             }
-            if broker.is_ready() {
-                case.note(&format!("broker ready at {address}"));
-                return Ok(broker);
+            if self.is_ready() {
+                case.note(&format!("broker ready at {}", self.address));
+                return Ok(());
             }
             thread::sleep(Duration::from_millis(25));
         }
@@ -277,6 +342,12 @@
         log.lines().filter(|line| line.contains(text)).map(str::to_string).collect()
     }
 
+    /// Tells the broker to read its files again.
+    pub fn hang_up(&self) -> Outcome<()> {
+        let status = Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.process.id())]).status()?;
+        if status.success() { Ok(()) } else { Err(format!("kill -HUP: {status}").into()) }
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.process.try_wait(), Ok(None))
