Review: the answer that the crowd resets stays under 64 KiB

Change: 12.5 kB a part, 62,771 bytes with the head. The slow link takes 20 kB a second and holds 4 KiB itself.

--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -1,8 +1,9 @@
 //! A client reads a long answer over a slow link. Meanwhile hundreds of clients come that ask once and keep their
 //! connection. The long answer has to arrive whole.
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::FromRawFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -18,11 +19,13 @@
 const CROWD_EVERY: Duration = Duration::from_millis(2);
 /// How long a client of the crowd keeps its connection: longer than the case takes.
 const KEPT: Duration = Duration::from_secs(20);
-/// The length of a part's value in the long answer.
-const VALUE_BYTES: usize = 50_000;
-/// The slow link: so many bytes each time, so often.
-const READ_BYTES: usize = 5_000;
+/// The length of a part's value in the long answer. The answer has five of them and stays under 64 KiB, the most that a body
+/// may hold.
+const VALUE_BYTES: usize = 12_500;
+/// The slow link: so many bytes each time, so often, and so many that it holds.
+const READ_BYTES: usize = 1_000;
 const READ_EVERY: Duration = Duration::from_millis(50);
+const LINK_BYTES: i32 = 4096;
 /// The time that the client of the long answer waits, in seconds.
 const BUDGET: &str = "6.0";
 
@@ -38,7 +41,7 @@
     let log = case.log();
     let (nodes, rows) = start_nodes(&log, Answers { after: Duration::from_millis(5), value_bytes: VALUE_BYTES })?;
     let mut broker = Broker::start(case, start_discovery(rows)?, SOCKETS)?;
-    let mut stream = TcpStream::connect(broker.address)?;
+    let mut stream = connect_over_link(broker.address)?;
     stream.write_all(request("full-search", &call_id(1), &[0, 1, 2, 3, 4], "pump", BUDGET).as_bytes())?;
     let started = Instant::now();
     case.note("the slow client has sent its full-search");
@@ -99,6 +102,51 @@
     })
 }
 
+/// An IPv4 address, as the system's C library takes it.
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    port: [u8; 2],
+    address: [u8; 4],
+    zero: [u8; 8],
+}
+
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
+}
+
+/// Connects with a receive buffer of `LINK_BYTES`, which has to be set before. The standard library has no call for that.
+fn connect_over_link(address: SocketAddr) -> std::io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOCK_CLOEXEC: i32 = 0o2000000;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let SocketAddr::V4(address) = address else { return Err(ErrorKind::InvalidInput.into()) };
+    let to = SocketAddress {
+        family: AF_INET as u16,
+        port: address.port().to_be_bytes(),
+        address: address.ip().octets(),
+        zero: [0; 8],
+    };
+    // SAFETY: the descriptor is new and owned by the stream alone; the pointers are to live values of the stated lengths.
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if descriptor < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        if setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &LINK_BYTES, 4) != 0
+            || connect(descriptor, &to, size_of::<SocketAddress>() as u32) != 0
+        {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
 /// Reads an answer at the speed of the slow link.
 fn read_slowly(mut stream: TcpStream, started: Instant, log: &Log) -> LongAnswer {
     let (mut got, mut expected) = (Vec::new(), None);
