Clients: a connection whose last response is queued has no request any more

Cause: the end of a connection was a flag (keep_alive = false), and the phase went back to reading heads. The connection began to close only once everything was written; as long as answers waited for the client, it had further turns, in which the bytes behind the error were parsed, and the head found there set the flag again. Bytes that could not be parsed stayed in the buffer and were answered in each turn.

Change: downstream/phase.rs. A connection serves requests or ends, and there is no way back: the last response moves it to its end, where it has no request phase to parse into, drops what it has read, discards what arrives and gets no second response. Whether a response is the last one follows from the phase of the request; keep_alive only says what the client asked for, and responded_before_body_end is gone.

The port for peers is tried too: nothing behind a refusal was handled before or is now.

A client whose request was not read to its end may still be sending: it lingers as long as a response may take, as streamed bodies did.

--- a/crates/dunepond-broker/src/downstream/accept.rs
+++ b/crates/dunepond-broker/src/downstream/accept.rs
@@ -11,7 +11,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::warn;
 
-use super::{ArrivalTimes, ClientConnection, Downstream, Listener, RequestPhase};
+use super::{ArrivalTimes, ClientConnection, ConnectionPhase, Downstream, Listener};
 use crate::buffers::WriteQueue;
 use crate::clock::{self, TimerEvent, Timers};
 use crate::connection_end::ConnectionEnd;
@@ -133,7 +133,7 @@
             input: None,
             read_ahead: VecDeque::new(),
             output: WriteQueue::new(&self.pool),
-            phase: RequestPhase::ReadingHead,
+            phase: ConnectionPhase::new(),
             readable: true,
             last_checked_at: f64::MIN,
             hides_its_end: false,
@@ -141,7 +141,6 @@
             arrivals: ArrivalTimes::new(connected_at),
             request_started_at: now,
             keep_alive: true,
-            responded_before_body_end: false,
             requests_in_turn: 0,
             reads_in_turn: 0,
             reading_paused: false,
--- a/crates/dunepond-broker/src/downstream/closing.rs
+++ b/crates/dunepond-broker/src/downstream/closing.rs
@@ -12,8 +12,9 @@
 use std::os::fd::AsRawFd;
 
 use super::accept::{LISTEN_BACKLOG, MAX_ACCEPTS_PER_ITERATION};
+use super::phase::{EndingPhase, LastRequest};
 use super::timeouts::REQUEST_TIMEOUT_SECONDS;
-use super::{ClientConnection, Downstream, RequestPhase};
+use super::{ClientConnection, Downstream};
 use crate::buffers::bytes_for_next_read;
 use crate::clock::{TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
@@ -164,8 +165,7 @@
             }
         };
         client.arrivals.record(input.filled().len() - before, received_at);
-        client.input =
-            Some(input).filter(|input| !input.is_empty() && !matches!(client.phase, RequestPhase::Lingering));
+        client.input = Some(input).filter(|input| !input.is_empty() && !client.phase.is_ending());
         match read {
             Ok(0) => FinalRead::Disconnected(ConnectionEnd::Closed),
             Ok(_) => {
@@ -194,16 +194,16 @@
     pub(super) fn start_lingering(&mut self, now: f64, id: usize, timers: &mut Timers) {
         let Some(client) = self.connections.get_mut(id) else { return };
         let _ = client.stream.shutdown(Shutdown::Write);
-        client.phase = RequestPhase::Lingering;
+        let ending = client.phase.ending();
+        client.phase.linger();
         client.request_started_at = now;
-        client.input = None;
-        client.read_ahead.clear();
-        // A client that is still sending its body reads the response only afterwards; closing before that would reset the
-        // connection.
-        let linger_seconds = if client.responded_before_body_end {
-            self.max_delivery_seconds().max(REQUEST_TIMEOUT_SECONDS)
-        } else {
-            LINGER_SECONDS
+        client.discard_received();
+        // Closing while the client is still sending would reset the connection before it reads the response.
+        let linger_seconds = match ending {
+            Some(EndingPhase::DeliveringLast(LastRequest::Unfinished)) => {
+                self.max_delivery_seconds().max(REQUEST_TIMEOUT_SECONDS)
+            }
+            _ => LINGER_SECONDS,
         };
         self.set_linger_timer(id, now + linger_seconds, timers);
         self.schedule_resume_accepting(timers);
@@ -223,7 +223,7 @@
         let until = self.shutdown_deadline + SHUTDOWN_LINGER_SECONDS;
         let Some(client) = self.connections.get(id) else { return false };
         let deadline = client.request_started_at + self.max_delivery_seconds();
-        let extend = matches!(client.phase, RequestPhase::Lingering)
+        let extend = client.phase.ending() == Some(EndingPhase::Lingering)
             && now < deadline.min(until)
             && has_unacknowledged(&client.stream);
         if extend {
--- a/crates/dunepond-broker/src/downstream/decode.rs
+++ b/crates/dunepond-broker/src/downstream/decode.rs
@@ -3,7 +3,8 @@
 
 use tracing::debug;
 
-use super::{ClientEvent, Downstream, RequestPhase, StreamedRequest, error_body};
+use super::phase::StreamedRequest;
+use super::{ClientEvent, Downstream, RequestPhase, error_body};
 use crate::buffers::BUFFER_BYTES;
 use crate::clock::Timers;
 use crate::http::{self, Head, HttpError, Message};
@@ -59,7 +60,7 @@
         if client.output.pending_bytes() > BUFFER_BYTES || client.has_had_turn() {
             return false;
         }
-        if matches!(client.phase, RequestPhase::ReadingHead)
+        if client.is_reading_head()
             && let Some(received_at) = client.arrivals.first_unparsed_at(client.unparsed_bytes())
         {
             client.request_started_at = received_at;
@@ -73,14 +74,15 @@
         if client.input.is_none() {
             return Parsed::Incomplete;
         }
-        match std::mem::replace(&mut client.phase, RequestPhase::AwaitingAdmission) {
+        let Some(phase) = client.phase.request_mut() else { return Parsed::Incomplete };
+        match std::mem::replace(phase, RequestPhase::Unreadable) {
             RequestPhase::ReadingHead => self.parse_head(now, id, timers),
             RequestPhase::ReadingBody(message) => self.parse_body(id, message),
             RequestPhase::StreamingBody(streamed) if !streamed.body_complete => {
                 self.parse_streamed_body(id, streamed)
             }
             other => {
-                client.phase = other;
+                *phase = other;
                 Parsed::Incomplete
             }
         }
@@ -96,7 +98,7 @@
                 head
             }
             Ok(None) => {
-                client.phase = RequestPhase::ReadingHead;
+                client.phase.set_request(RequestPhase::ReadingHead);
                 return Parsed::Incomplete;
             }
             Err(error) => return Parsed::Request(Err(error)),
@@ -111,7 +113,7 @@
         if head.expects_continue {
             client.output.queue_vec(CONTINUE_RESPONSE.to_vec());
         }
-        client.phase = RequestPhase::ReadingBody(Box::new(Message::new(head)));
+        client.phase.set_request(RequestPhase::ReadingBody(Box::new(Message::new(head))));
         self.write(now, id, timers);
         Parsed::HeadDone
     }
@@ -123,7 +125,10 @@
         let received_at = client.request_started_at;
         self.clear_timer(id, timers);
         match self.validate_streamed(&head, received_at) {
-            Ok(request) => Parsed::Event(ClientEvent::StreamedQuery(request, Box::new(head))),
+            Ok(request) => {
+                self.connections[id].phase.set_request(RequestPhase::AwaitingBody);
+                Parsed::Event(ClientEvent::StreamedQuery(request, Box::new(head)))
+            }
             Err(error) => {
                 self.reject_and_close(now, id, error, 0.0, timers);
                 Parsed::HeadDone
@@ -137,10 +142,13 @@
         let Some(input) = client.input.as_mut() else { return Parsed::Incomplete };
         match message.read_body(input, &self.pool) {
             Ok(false) => {
-                client.phase = RequestPhase::ReadingBody(message);
+                client.phase.set_request(RequestPhase::ReadingBody(message));
                 Parsed::Incomplete
             }
-            Ok(true) => Parsed::Request(Ok(message)),
+            Ok(true) => {
+                client.phase.set_request(RequestPhase::AwaitingAdmission);
+                Parsed::Request(Ok(message))
+            }
             Err(error) => Parsed::Request(Err(error)),
         }
     }
@@ -151,14 +159,14 @@
         let client = &mut self.connections[id];
         let Some(input) = client.input.as_mut() else { return Parsed::Incomplete };
         match streamed.message.read_body(input, &self.pool) {
-            Ok(false) => client.phase = RequestPhase::StreamingBody(streamed),
+            Ok(false) => client.phase.set_request(RequestPhase::StreamingBody(streamed)),
             Ok(true) => {
                 streamed.body_complete = true;
                 streamed.body.finish();
-                client.phase = match streamed.query {
+                client.phase.set_request(match streamed.query {
                     Some(query) => RequestPhase::InFlight(query),
                     None => RequestPhase::StreamingBody(streamed),
-                };
+                });
             }
             Err(error) => return Parsed::Request(Err(error)),
         }
@@ -176,11 +184,8 @@
     ) -> Option<ClientEvent> {
         self.connections[id].release_empty_input();
         self.clear_timer(id, timers);
-        let client = &mut self.connections[id];
-        // After a malformed request it is unknown where the next one begins.
-        client.keep_alive &= outcome.is_ok();
         self.malformed_messages += u64::from(outcome.is_err());
-        let is_search_api = client.port == Port::SearchApi;
+        let is_search_api = self.connections[id].port == Port::SearchApi;
         match self.search_api.clone().filter(|_| is_search_api) {
             Some(api) => self.finish_search_request(now, id, &api, outcome, timers),
             None => self.finish_query_request(now, id, outcome, timers),
--- a/crates/dunepond-broker/src/downstream/disconnect.rs
+++ b/crates/dunepond-broker/src/downstream/disconnect.rs
@@ -46,9 +46,9 @@
     /// Checks a client whose socket is readable for a disconnect, if it waits for a response.
     pub fn check_waiting_client(&mut self, now: f64, id: usize) {
         let Some(client) = self.connections.get_mut(id) else { return };
-        let is_waiting = match &client.phase {
-            RequestPhase::StreamingBody(streamed) => streamed.query.is_some(),
-            phase => matches!(phase, RequestPhase::AwaitingAdmission | RequestPhase::InFlight(_)),
+        let is_waiting = match client.phase.request() {
+            Some(RequestPhase::StreamingBody(streamed)) => streamed.query.is_some(),
+            phase => phase.is_some_and(RequestPhase::is_read_whole),
         };
         if is_waiting {
             client.readable = true;
@@ -79,9 +79,8 @@
         let may_read_ahead = self.has_read_ahead_capacity();
         let client = &mut self.connections[id];
         client.hides_its_end = false;
-        let is_uploading =
-            matches!(&client.phase, RequestPhase::StreamingBody(streamed) if !streamed.body_complete);
-        let is_read_blocked = client.reading_paused || is_uploading;
+        let is_uploading = client.phase.streamed().is_some_and(|streamed| !streamed.body_complete);
+        let is_read_blocked = client.reading_paused || is_uploading || client.phase.is_ending();
         // An input buffer that exists is kept even if it is empty: parsing an empty body needs one.
         let had_input = client.input.is_some();
         for _ in 0..MAX_READS_PER_TURN {
--- a/crates/dunepond-broker/src/downstream/mod.rs
+++ b/crates/dunepond-broker/src/downstream/mod.rs
@@ -7,6 +7,7 @@
 mod closing;
 mod decode;
 mod disconnect;
+mod phase;
 mod read;
 mod response;
 mod streamed_body;
@@ -27,17 +28,17 @@
 use serde_json::json;
 use slab::Slab;
 
-use crate::body::Body;
 use crate::buffers::{BUFFER_BYTES, Buffer, Pool, WriteQueue, bytes_for_next_read, bytes_to_append};
 use crate::clock::TimerKey;
 use crate::connection_end::ConnectionEnd;
-use crate::http::{Head, Message};
+use crate::http::Head;
 use crate::iteration::{EventLoopHandle, Port};
 use crate::query_request::QueryRequest;
 use crate::read_turn::{UnfinishedConnection, UnfinishedTurns};
 use crate::search_api::{self, SearchRequest};
 pub use accept::listen;
 use arrivals::ArrivalTimes;
+use phase::{ConnectionPhase, RequestPhase};
 use read::MAX_REQUESTS_PER_TURN;
 
 /// The result of reading from a client connection.
@@ -54,36 +55,6 @@
     Nothing,
 }
 
-/// What a client connection is doing with its current request.
-enum RequestPhase {
-    /// Between requests, or inside a head.
-    ReadingHead,
-    /// Inside the body of a request that is not streamed.
-    ReadingBody(Box<Message>),
-    /// Inside the body of a streamed request, or waiting for the body to be buffered.
-    StreamingBody(Box<StreamedRequest>),
-    /// A complete request has been read, but has neither a response nor a query id yet.
-    AwaitingAdmission,
-    /// The request is in flight under this id.
-    InFlight(QueryId),
-    /// The write side is shut down; what still arrives is discarded until the client closes its side.
-    Lingering,
-}
-
-/// A request whose body is streamed.
-struct StreamedRequest {
-    /// The state of parsing the request.
-    message: Message,
-    /// The body that the received bytes are appended to.
-    body: Rc<Body>,
-    /// The validated request; `None` once its query has started.
-    request: Option<QueryRequest>,
-    /// The id of the request's query; `None` until the query has started.
-    query: Option<QueryId>,
-    /// Whether the whole body has arrived.
-    body_complete: bool,
-}
-
 /// A connection of a client.
 struct ClientConnection {
     stream: Rc<TcpStream>,
@@ -95,7 +66,7 @@
     /// Bytes that were read while `input` was full, in order.
     read_ahead: VecDeque<Buffer>,
     output: WriteQueue,
-    phase: RequestPhase,
+    phase: ConnectionPhase,
     /// Whether there may be bytes to read. Kept here because readiness events are edge-triggered and so not repeated.
     readable: bool,
     /// When the connection was last checked for a disconnect, in Unix seconds.
@@ -109,10 +80,8 @@
     /// When the first byte of the current request arrived or, in the lingering phase, when that phase began; in Unix
     /// seconds.
     request_started_at: f64,
-    /// Whether the connection stays open after the response.
+    /// Whether the client keeps the connection open after the response to its current request.
     keep_alive: bool,
-    /// Whether the response was sent before the body of a streamed request was complete.
-    responded_before_body_end: bool,
     /// How many requests have been parsed in the client's current turn.
     requests_in_turn: usize,
     /// How many times the client has been read in its current turn.
@@ -273,16 +242,21 @@
 impl ClientConnection {
     /// Whether the client has not sent a complete request yet.
     fn awaiting_request(&self) -> bool {
-        match &self.phase {
-            RequestPhase::StreamingBody(streamed) => streamed.query.is_none(),
-            phase => matches!(phase, RequestPhase::ReadingHead | RequestPhase::ReadingBody(_)),
+        match self.phase.request() {
+            Some(RequestPhase::StreamingBody(streamed)) => streamed.query.is_none(),
+            phase => matches!(phase, Some(RequestPhase::ReadingHead | RequestPhase::ReadingBody(_))),
         }
     }
 
+    /// Whether the client is between requests, or inside the head of one.
+    fn is_reading_head(&self) -> bool {
+        matches!(self.phase.request(), Some(RequestPhase::ReadingHead))
+    }
+
     /// Returns the memory of the grown buffers that hold what the client has sent of its request, in bytes.
     fn buffer_bytes(&self) -> usize {
-        let body = match &self.phase {
-            RequestPhase::ReadingBody(message) => message.body.as_ref(),
+        let body = match self.phase.request() {
+            Some(RequestPhase::ReadingBody(message)) => message.body.as_ref(),
             _ => None,
         };
         self.input.iter().chain(&self.read_ahead).chain(body).map(Buffer::grown_bytes).sum()
@@ -292,7 +266,7 @@
     /// bytes are moved.
     fn bytes_for_next_read(&self) -> usize {
         let input_bytes = bytes_for_next_read(self.input.as_ref());
-        let RequestPhase::ReadingBody(message) = &self.phase else { return input_bytes };
+        let Some(RequestPhase::ReadingBody(message)) = self.phase.request() else { return input_bytes };
         let moved = input_bytes.max(self.input.as_ref().map_or(0, Buffer::allocated_bytes));
         input_bytes + bytes_to_append(message.body.as_ref(), moved)
     }
@@ -315,7 +289,7 @@
 
     /// Whether the client waits for its next turn: it is between requests, and as many were parsed as a turn may have.
     fn has_had_turn(&self) -> bool {
-        matches!(self.phase, RequestPhase::ReadingHead) && self.requests_in_turn >= MAX_REQUESTS_PER_TURN
+        self.is_reading_head() && self.requests_in_turn >= MAX_REQUESTS_PER_TURN
     }
 
     /// Whether there may be bytes to read and there is room for them.
@@ -324,6 +298,12 @@
         !full && !self.reading_paused && (self.readable || !self.read_ahead.is_empty())
     }
 
+    /// Discards what has been read and not parsed, as the connection ends.
+    fn discard_received(&mut self) {
+        self.input = None;
+        self.read_ahead.clear();
+    }
+
     /// Returns the last read-ahead buffer to its pool if nothing was read into it.
     fn release_empty_read_ahead(&mut self) {
         if self.read_ahead.back().is_some_and(Buffer::is_empty) {
@@ -340,10 +320,7 @@
 
     /// Whether the client has no pending request: nothing is left to parse or to write.
     fn is_between_requests(&self) -> bool {
-        matches!(self.phase, RequestPhase::ReadingHead)
-            && self.input.is_none()
-            && self.read_ahead.is_empty()
-            && self.output.is_empty()
+        self.is_reading_head() && self.input.is_none() && self.read_ahead.is_empty() && self.output.is_empty()
     }
 }
 
--- a/crates/dunepond-broker/src/downstream/read.rs
+++ b/crates/dunepond-broker/src/downstream/read.rs
@@ -139,7 +139,7 @@
     /// buffer while it waits for room in the body.
     fn pause_for_full_body(&mut self, id: usize) {
         let client = &mut self.connections[id];
-        if let RequestPhase::StreamingBody(streamed) = &client.phase
+        if let Some(streamed) = client.phase.streamed()
             && !streamed.body_complete
             && !client.reading_paused
             && streamed.body.is_full()
@@ -153,11 +153,13 @@
     fn read_once(&mut self, now: f64, id: usize) -> Option<ConnectionEnd> {
         let received_at = self.received_at(now);
         let client = &mut self.connections[id];
-        let received = if matches!(client.phase, RequestPhase::Lingering) {
+        let received = if client.phase.is_ending() {
             (&*client.stream).read(&mut self.discarded)
         } else {
-            let is_body =
-                matches!(client.phase, RequestPhase::ReadingBody(_) | RequestPhase::StreamingBody(_));
+            let is_body = matches!(
+                client.phase.request(),
+                Some(RequestPhase::ReadingBody(_) | RequestPhase::StreamingBody(_))
+            );
             let acquire = || if is_body { self.pool.acquire_for_body() } else { self.pool.acquire() };
             let input = client.input.get_or_insert_with(acquire);
             read(input, &mut client.read_ahead, &mut client.arrivals, &client.stream, received_at)
@@ -200,7 +202,7 @@
     /// close.
     fn make_room_for_read(&mut self, id: usize, timers: &mut Timers) -> bool {
         let client = &self.connections[id];
-        if matches!(client.phase, RequestPhase::Lingering) {
+        if client.phase.is_ending() {
             return true;
         }
         let bytes = client.bytes_for_next_read();
@@ -221,7 +223,9 @@
         let is_candidate = |id: &usize| *id != except && held(id) > 0 && !self.is_queued(*id);
         let others = || self.awaiting_request.values().copied().filter(is_candidate);
         let evicted = others().find(|id| held(id) >= bytes).or_else(|| others().next());
-        let is_upload = |client: &ClientConnection| matches!(&client.phase, RequestPhase::StreamingBody(streamed) if streamed.query.is_none());
+        let is_upload = |client: &ClientConnection| {
+            client.phase.streamed().is_some_and(|streamed| streamed.query.is_none())
+        };
         let mut uploads = self.connections.iter().filter(|(_, client)| is_upload(client)).map(|(id, _)| id);
         let Some(id) = evicted.or_else(|| uploads.find(is_candidate)) else {
             return false;
--- a/crates/dunepond-broker/src/downstream/response.rs
+++ b/crates/dunepond-broker/src/downstream/response.rs
@@ -4,6 +4,7 @@
 use tracing::debug;
 
 use super::closing::FinalRead;
+use super::phase::EndingPhase;
 use super::{ClientConnection, Downstream, RequestPhase, error_body};
 use crate::clock::Timers;
 use crate::connection_end::ConnectionEnd;
@@ -22,7 +23,7 @@
 impl Downstream {
     /// Records that the client's request is in flight under the id `query` until its response.
     pub fn assign_query(&mut self, id: usize, query: QueryId) {
-        match self.connections.get_mut(id).map(|c| &mut c.phase) {
+        match self.connections.get_mut(id).and_then(|client| client.phase.request_mut()) {
             // The client is still sending the body, which is passed through to the nodes as it arrives.
             Some(RequestPhase::StreamingBody(streamed)) => streamed.query = Some(query),
             Some(phase) => *phase = RequestPhase::InFlight(query),
@@ -40,14 +41,12 @@
         retry_after: f64,
         timers: &mut Timers,
     ) {
-        if let Some(client) = self.connections.get_mut(id) {
-            (client.keep_alive, client.responded_before_body_end) = (false, true);
-        }
         debug!("client {id}: answered {}: {}", reason.status, reason.reason);
         self.reply(now, id, reason.status, &error_body(&reason.reason), retry_after, timers);
     }
 
-    /// Sends the one final response to a client's request. `retry_after` is the value of `Retry-After` in seconds.
+    /// Sends the one final response to a client's request; does nothing if the connection ends already with a response.
+    /// `retry_after` is the value of `Retry-After` in seconds.
     pub fn reply(
         &mut self,
         now: f64,
@@ -57,18 +56,15 @@
         retry_after: f64,
         timers: &mut Timers,
     ) {
-        let Some(client) = self.connections.get_mut(id) else { return };
-        // After a response in the middle of a body the connection closes, as the rest of the body would be parsed as
-        // the next request.
-        client.responded_before_body_end |= matches!(client.phase, RequestPhase::StreamingBody(_));
-        client.keep_alive &= !client.responded_before_body_end;
-        // In a shutdown the connection closes after its last response. This response is not the last one if another
-        // request has arrived.
-        let closes = self.closes_after_response && client.keep_alive && !self.has_next_request(now, id);
+        let Some(keeps_open) = self.keeps_open_after_response(now, id) else { return };
         let client = &mut self.connections[id];
-        client.keep_alive &= !closes;
-        client.output.queue_vec(http::encode_response(status, body, retry_after, client.keep_alive));
-        client.phase = RequestPhase::ReadingHead;
+        client.output.queue_vec(http::encode_response(status, body, retry_after, keeps_open));
+        if keeps_open {
+            client.phase.set_request(RequestPhase::ReadingHead);
+        } else {
+            client.phase.deliver_last();
+            client.discard_received();
+        }
         // The client's next request waits for a turn of its own; otherwise requests that are answered at once would follow one
         // another without an end.
         if client.readable || client.has_unparsed() {
@@ -77,6 +73,17 @@
         self.write(now, id, timers);
     }
 
+    /// Whether the connection stays open after the response to its current request; `None` if it has no request, as it is
+    /// closed or ends.
+    fn keeps_open_after_response(&mut self, now: f64, id: usize) -> Option<bool> {
+        let client = self.connections.get(id)?;
+        // Where a request is not read to its end, its rest would be parsed as the next one.
+        let may_stay_open = client.phase.request()?.is_read_whole() && client.keep_alive;
+        // In a shutdown the connection closes after its last response. This response is not the last one if another
+        // request has arrived.
+        Some(may_stay_open && (!self.closes_after_response || self.has_next_request(now, id)))
+    }
+
     /// Returns how long a client may take to read a response once writing has begun, in seconds.
     pub(super) fn max_delivery_seconds(&self) -> f64 {
         self.settings.longest_query_seconds + DELIVERY_GRACE_SECONDS
@@ -133,8 +140,8 @@
             client.readable = true;
             return self.clients_to_read.push(id);
         }
-        let (all_written, keep_alive, timer) = (client.output.is_empty(), client.keep_alive, client.timer);
-        match client.phase {
+        let (all_written, timer) = (client.output.is_empty(), client.timer);
+        match client.phase.request() {
             _ if !all_written && timer.is_some() => self.disconnect_slow_readers(),
             _ if !all_written => {
                 let key = self.set_timer(id, now + self.max_delivery_seconds(), timers);
@@ -142,11 +149,9 @@
                 self.disconnect_slow_readers();
             }
             // A timer left set would close the connection while the query is in flight.
-            RequestPhase::AwaitingAdmission | RequestPhase::InFlight(_) => self.clear_timer(id, timers),
-            RequestPhase::ReadingHead if keep_alive && self.close_when_idle => {
-                self.close_if_no_data(now, id, timers)
-            }
-            RequestPhase::ReadingHead if keep_alive => {
+            Some(RequestPhase::AwaitingAdmission | RequestPhase::InFlight(_)) => self.clear_timer(id, timers),
+            Some(RequestPhase::ReadingHead) if self.close_when_idle => self.close_if_no_data(now, id, timers),
+            Some(RequestPhase::ReadingHead) => {
                 self.start_idle_timer(id, now + IDLE_TIMEOUT_SECONDS, timers);
                 self.schedule_resume_accepting(timers);
                 if self.idle.len() > self.max_connections / MAX_IDLE_DIVISOR
@@ -155,8 +160,14 @@
                     self.close_if_no_data(now, longest, timers);
                 }
             }
-            RequestPhase::ReadingHead => self.start_lingering(now, id, timers),
-            RequestPhase::ReadingBody(_) | RequestPhase::StreamingBody(_) | RequestPhase::Lingering => {}
+            Some(
+                RequestPhase::ReadingBody(_)
+                | RequestPhase::AwaitingBody
+                | RequestPhase::StreamingBody(_)
+                | RequestPhase::Unreadable,
+            ) => {}
+            None if client.phase.ending() == Some(EndingPhase::Lingering) => {}
+            None => self.start_lingering(now, id, timers),
         }
     }
 }
--- a/crates/dunepond-broker/src/downstream/streamed_body.rs
+++ b/crates/dunepond-broker/src/downstream/streamed_body.rs
@@ -5,7 +5,8 @@
 use dunepond_body_buffer::BodyId;
 
 use super::decode::CONTINUE_RESPONSE;
-use super::{Downstream, RequestPhase, StreamedRequest};
+use super::phase::StreamedRequest;
+use super::{Downstream, RequestPhase};
 use crate::body::Body;
 use crate::clock::Timers;
 use crate::http::{Head, HttpError, Message};
@@ -30,13 +31,13 @@
         let deadline = request.deadline;
         let message = Message::streaming_into(head, body);
         let (body, request) = (body.clone(), Some(request));
-        client.phase = RequestPhase::StreamingBody(Box::new(StreamedRequest {
+        client.phase.set_request(RequestPhase::StreamingBody(Box::new(StreamedRequest {
             message,
             body,
             request,
             query: None,
             body_complete: false,
-        }));
+        })));
         self.clients_to_read.push(id);
         self.write(now, id, timers);
         // The body may take until the request's deadline to arrive.
@@ -53,14 +54,12 @@
         body: BodyId,
         timers: &mut Timers,
     ) -> Option<(QueryRequest, Rc<Body>)> {
-        let Some(RequestPhase::StreamingBody(streamed)) = self.connections.get_mut(id).map(|c| &mut c.phase)
-        else {
-            return None;
-        };
+        let phase = self.connections.get_mut(id)?.phase.request_mut()?;
+        let RequestPhase::StreamingBody(streamed) = phase else { return None };
         let request = streamed.request.take_if(|_| streamed.body.id == body)?;
         let body = streamed.body.clone();
         if streamed.body_complete {
-            self.connections[id].phase = RequestPhase::AwaitingAdmission;
+            *phase = RequestPhase::AwaitingAdmission;
         }
         self.clear_timer(id, timers);
         Some((request, body))
@@ -77,9 +76,8 @@
         retry_after: f64,
         timers: &mut Timers,
     ) {
-        let phase = self.connections.get(id).map(|c| &c.phase);
-        if matches!(phase, Some(RequestPhase::StreamingBody(streamed)) if streamed.body.id == body && streamed.query.is_none())
-        {
+        let streamed = self.connections.get(id).and_then(|client| client.phase.streamed());
+        if streamed.is_some_and(|streamed| streamed.body.id == body && streamed.query.is_none()) {
             self.clear_timer(id, timers);
             self.reject_and_close(now, id, reason, retry_after, timers);
         }
@@ -90,15 +88,12 @@
     /// discarded.
     pub fn resume_unblocked(&mut self) {
         for id in std::mem::take(&mut self.blocked_on_body) {
-            match self.connections.get(id).map(|c| &c.phase) {
-                Some(RequestPhase::StreamingBody(streamed)) if streamed.body.is_full() => {
-                    self.blocked_on_body.push(id)
-                }
-                Some(_) => {
-                    self.connections[id].reading_paused = false;
-                    self.unfinished_turns.add(UnfinishedConnection::Client(id));
-                }
-                None => {}
+            let Some(client) = self.connections.get_mut(id) else { continue };
+            if client.phase.streamed().is_some_and(|streamed| streamed.body.is_full()) {
+                self.blocked_on_body.push(id);
+            } else {
+                client.reading_paused = false;
+                self.unfinished_turns.add(UnfinishedConnection::Client(id));
             }
         }
     }
--- a/crates/dunepond-broker/src/downstream/tests/mod.rs
+++ b/crates/dunepond-broker/src/downstream/tests/mod.rs
@@ -1,3 +1,5 @@
+mod last_response;
+
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/dunepond-broker/src/downstream/timeouts.rs
+++ b/crates/dunepond-broker/src/downstream/timeouts.rs
@@ -4,7 +4,7 @@
 use tracing::debug;
 
 use super::closing::has_unacknowledged;
-use super::{Downstream, RequestPhase, error_body};
+use super::{Downstream, error_body};
 use crate::clock::{TimerEvent, TimerKey, Timers};
 use crate::connection_end::ConnectionEnd;
 use crate::http::HttpError;
@@ -63,7 +63,6 @@
             self.close_if_no_data(now, id, timers);
             return None;
         }
-        client.keep_alive = false;
         let reason = HttpError::new(408, "request: not whole in time");
         let body = if client.port == Port::SearchApi {
             search_api::error_response(&reason).body().to_string()
@@ -89,10 +88,6 @@
         }
         debug!("client {id}: connection {connection_end}");
         self.schedule_resume_accepting(timers);
-        match client.phase {
-            RequestPhase::InFlight(query) => Some(query),
-            RequestPhase::StreamingBody(streamed) => streamed.query,
-            _ => None,
-        }
+        client.phase.query()
     }
 }
--- a/crates/dunepond-membership/tests/untrusted_senders.rs
+++ b/crates/dunepond-membership/tests/untrusted_senders.rs
@@ -156,6 +156,27 @@
     assert_unaffected(&fleet);
 }
 
+/// Guards against requests that nobody has sent: what stands behind a refusal that ends its connection is no request.
+#[rstest]
+#[case::not_http(b"POST /raft HTTP/7.0\r\n\r\n".to_vec(), 400)]
+#[case::other_method(b"GET /raft HTTP/1.1\r\nhost: x\r\n\r\n".to_vec(), 400)]
+#[case::length_beside_encoding(
+    b"POST /raft HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_vec(),
+    400
+)]
+#[case::bad_chunk(b"POST /raft HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec(), 400)]
+#[case::too_large(b"POST /raft HTTP/1.1\r\nhost: x\r\ncontent-length: 9000000\r\n\r\n".to_vec(), 413)]
+#[case::unknown_version(b"POST /raft HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx".to_vec(), 426)]
+fn nothing_behind_a_refusal_is_a_request(#[case] refused: Vec<u8>, #[case] status: u16) {
+    let fleet = start_pair();
+    let hidden = b"POST /shell HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+    let responses = send_raw(fleet[0].peers.local_addr(), &[&refused[..], hidden, hidden].concat());
+    let text = String::from_utf8_lossy(&responses);
+    let heads: Vec<_> = text.match_indices("HTTP/1.1 ").map(|(at, _)| &text[at + 9..at + 12]).collect();
+    assert_eq!(heads, [status.to_string()], "{text}");
+    assert_unaffected(&fleet);
+}
+
 /// Sends many times more datagrams than the buffer of a socket can store. Their number is fixed, so that the result
 /// does not depend on the load of the machine.
 #[test]
--- a/crates/dunepond-testkit/tests/search.rs
+++ b/crates/dunepond-testkit/tests/search.rs
@@ -1,7 +1,8 @@
 //! The search API of real brokers: the same outcomes as with the broker's own protocol, partial results that are marked as such,
 //! and clients that are slow, disconnect or send invalid requests.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +14,14 @@
 use dunepond_testkit::stand_ins::{Client, query_request};
 use rstest::rstest;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
+
+/// Number of requests whose answers a client leaves unread: more than the system's buffers hold.
+const EARLIER_REQUESTS: usize = 900;
+/// More than all answers to such a client, in bytes.
+const MAX_ANSWER_BYTES: usize = 500_000;
+/// How long such a client waits after each read of 4 KiB.
+const PAUSE_BETWEEN_READS: Duration = Duration::from_millis(20);
 
 fn cluster(nodes: usize) -> SearchCluster {
     cluster_with_protocols(&vec![NodeProtocol::Frames; nodes])
@@ -418,6 +427,42 @@
     assert_eq!(cluster.repeated_part_count(), 0);
 }
 
+/// Guards against updates that nobody has sent: while the client had not read earlier answers, what stood behind an unreadable
+/// request was run.
+#[rstest]
+fn update_behind_an_unreadable_request_does_not_run(#[values(Port::Native, Port::SearchApi)] port: Port) {
+    let cluster = cluster(3);
+    let (address, hidden) = match port {
+        Port::Native => (cluster.broker.address, query_request("fix", "hidden", &[0], "2.0")),
+        Port::SearchApi => (cluster.api_address, http_request("POST", "/fix/_update_by_query", "{}")),
+    };
+    let requests = http_request("POST", "/none/_search", "{}").repeat(EARLIER_REQUESTS);
+    let unreadable = "POST /all/_search HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{}";
+    let mut stream = connect_with_small_buffer(address);
+    stream.write_all([&requests, unreadable, &hidden].concat().as_bytes()).unwrap();
+    let (mut answers, mut bytes) = (Vec::new(), [0; 4096]);
+    // Without a bound an endless stream of answers would keep the test from ending.
+    while answers.len() < MAX_ANSWER_BYTES
+        && let Ok(count @ 1..) = stream.read(&mut bytes)
+    {
+        answers.extend_from_slice(&bytes[..count]);
+        thread::sleep(PAUSE_BETWEEN_READS);
+    }
+    let answers = String::from_utf8(answers).unwrap();
+    let count = |status: &str| answers.matches(&format!("HTTP/1.1 {status} ")).count();
+    assert_eq!((count("404"), count("400"), count("200")), (EARLIER_REQUESTS, 1, 0));
+    assert_eq!(cluster.run_count(), 0);
+}
+
+/// Connects with a receive buffer that holds few answers.
+fn connect_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    socket.into()
+}
+
 #[test]
 fn connection_is_reused_after_errors() {
     let cluster = cluster(1);
