Peers: a refused peer that is still sending gets its refusal, not a reset

A peer whose request was refused before its body had arrived saw a reset and took the broker for unreachable. The HTTP server closes the socket as soon as the last response is written, and closing with unread bytes resets the connection.

The write side is now shut down and what still arrives is discarded until the peer closes, for the transfer timeout at most, as the client ports do. The connection keeps counting and gives way to others as before. The server only borrows the stream, so that its own shutdown, which writes what it still holds, comes first.

--- a/crates/dunepond-membership/src/server/mod.rs
+++ b/crates/dunepond-membership/src/server/mod.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio_io_timeout::TimeoutStream;
@@ -68,6 +69,15 @@
     }
 }
 
+/// Shuts down the write side of a connection that has its last response, and discards what the peer still sends until it closes
+/// its side. A peer that is still sending a refused request reads the refusal only afterwards, and a close before that would
+/// reset the connection.
+async fn linger(stream: &mut (impl AsyncRead + AsyncWrite + Unpin)) -> std::io::Result<()> {
+    stream.shutdown().await?;
+    tokio::io::copy(stream, &mut tokio::io::sink()).await?;
+    Ok(())
+}
+
 impl Server {
     /// Returns whether one more connection can be accepted. At the limit, the oldest connection without a verified
     /// request is closed to make room, so that unverified senders cannot use up the room for peers.
@@ -100,11 +110,17 @@
             let (server, connection) = (self.clone(), connection.clone());
             async move { Ok::<_, Infallible>(server.handle(request, source, &connection).await) }
         });
-        let http = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_secs_f64(timing.idle_timeout_seconds))
-            .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(Box::pin(stream)), service);
+        let mut stream = Box::pin(stream);
+        let http = async {
+            let _ = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs_f64(timing.idle_timeout_seconds))
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(TokioIo::new(&mut stream), service)
+                .await;
+            let linger_timeout = Duration::from_secs_f64(timing.transfer_timeout_seconds);
+            let _ = tokio::time::timeout(linger_timeout, linger(&mut stream)).await;
+        };
         let first_request_timeout = async {
             tokio::time::sleep(Duration::from_secs_f64(timing.first_request_timeout_seconds)).await;
             if connection.verified.get() {
@@ -112,7 +128,7 @@
             }
         };
         tokio::select! {
-            _ = http => {}
+            () = http => {}
             () = connection.close.notified() => {}
             () = first_request_timeout => increment(&self.context.shared.counters.connections_refused),
         }
--- a/crates/dunepond-membership/tests/untrusted_senders.rs
+++ b/crates/dunepond-membership/tests/untrusted_senders.rs
@@ -177,6 +177,25 @@
     assert_unaffected(&fleet);
 }
 
+/// Guards against a reset, which would lose the refusal: the peer reads it only after it has sent its body.
+#[test]
+fn refused_peer_that_is_still_sending_gets_its_refusal() {
+    let fleet = start_pair();
+    let length = 9_000_000;
+    let mut stream = TcpStream::connect(fleet[0].peers.local_addr()).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let head = format!("POST /raft HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    for _ in 0..length / 100_000 {
+        stream.write_all(&[0; 100_000]).expect("the connection was reset");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).unwrap();
+    assert!(response.starts_with(b"HTTP/1.1 413"), "{}", response.escape_ascii());
+    assert_unaffected(&fleet);
+}
+
 /// Sends many times more datagrams than the buffer of a socket can store. Their number is fixed, so that the result
 /// does not depend on the load of the machine.
 #[test]
