Routing: segments are read from the replicas that the agreed shard map names

Cause: of the agreed map only the owner was looked at. The replicas of a segment came from discovery's groups, which cannot say that it has moved.

Change: ActiveConfig::readable_replicas returns the nodes that are filled in the map of each version that is in force, or without a lease in each known one; the event loop gives them to the router with each change of the configuration or of the endpoint list, and placement, probes and admission use them in place of the groups. Without a shard map nothing changes.

--- a/crates/dunepond-broker/src/control_plane/mod.rs
+++ b/crates/dunepond-broker/src/control_plane/mod.rs
@@ -9,7 +9,7 @@
 mod rules;
 mod startup;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -180,6 +180,20 @@
         Ok(query_start)
     }
 
+    /// Returns the listed nodes from which each segment of the active configuration's shard map may be read; empty without a
+    /// map.
+    pub fn segment_replicas(&self) -> BTreeMap<usize, Vec<NodeId>> {
+        let Some(AppliedConfig { config, .. }) = &self.last_applied else { return BTreeMap::new() };
+        let now = monotonic_seconds();
+        let Some(map) = config.map(now) else { return BTreeMap::new() };
+        let listed = |names: Vec<&str>| {
+            names.into_iter().filter_map(|name| self.node_by_name.get(name).copied()).collect()
+        };
+        let replicas =
+            |segment: u64| Some((segment as usize, listed(config.readable_replicas(segment, now)?)));
+        map.segments().filter_map(|segment| replicas(segment.id)).collect()
+    }
+
     /// Counts the bytes that a node has sent for a tenant's query, for the settlement between partners.
     pub fn record_answer_bytes(&self, node: NodeId, tenant: usize, bytes: usize) {
         let debtor = self.partner_by_tenant.get(tenant).copied().flatten();
--- a/crates/dunepond-broker/src/event_loop/endpoints.rs
+++ b/crates/dunepond-broker/src/event_loop/endpoints.rs
@@ -23,6 +23,15 @@
         if !changes.endpoints.is_empty() {
             self.apply_endpoints(EndpointUpdate { complete: false, endpoints: changes.endpoints });
         }
+        self.apply_segment_replicas();
+    }
+
+    /// Has the router read each segment only from the replicas that the active configuration's shard map names, which discovery
+    /// does not know.
+    fn apply_segment_replicas(&mut self) {
+        if let Some(control_plane) = &self.router_host.control_plane {
+            self.router.set_segment_replicas(control_plane.segment_replicas());
+        }
     }
 
     /// Handles a readiness event of the connection to discovery, and applies the endpoint updates that were received.
@@ -57,6 +66,7 @@
             );
         }
         self.apply_endpoints(update);
+        self.apply_segment_replicas();
     }
 
     /// Applies an endpoint update to the connections, the prefilter and the router. Once the first endpoint list is in
--- a/crates/dunepond-consensus/src/active_config.rs
+++ b/crates/dunepond-consensus/src/active_config.rs
@@ -152,6 +152,13 @@
     map.segment(segment).map(|segment| segment.owner.as_str())
 }
 
+/// The nodes whose replicas of a segment are filled; `None` if the map does not name the segment.
+fn filled_replicas(map: &VerifiedMap, segment: u64) -> Option<Vec<&str>> {
+    let segment = map.segment(segment)?;
+    let nodes = segment.replicas.iter().map(|replica| replica.node.as_str());
+    Some(nodes.filter(|node| map.is_filled(segment, node)).collect())
+}
+
 impl ActiveConfig {
     /// The configuration of a broker that has had no lease and knows no version: non-idempotent parts are rejected.
     pub fn unleased() -> Self {
@@ -243,6 +250,27 @@
         owner.map_or(unavailable, SegmentOwner::Node)
     }
 
+    /// The nodes from which `segment` may be read at `now`: those that are filled in the map of each version that the broker acts
+    /// on, or without a lease of each version that it knows. If no node is filled in both maps, those of the active one, which
+    /// still hold the segment. `None` if the maps do not name the segment.
+    pub fn readable_replicas(&self, segment: u64, now: f64) -> Option<Vec<&str>> {
+        let snapshot = &self.snapshot;
+        let (active, proposed) = (snapshot.active_map.as_ref(), snapshot.proposed_map.as_ref());
+        let (first, second) = match (self.lease_valid(now), snapshot.applicable_versions) {
+            (true, ApplicableVersions::Active) => (active, None),
+            (true, ApplicableVersions::Proposed) => (proposed.or(active), None),
+            _ => (active, proposed),
+        };
+        let filled = [first, second].map(|map| filled_replicas(map?, segment));
+        match filled.into() {
+            (Some(first), Some(second)) => {
+                let both: Vec<_> = first.iter().copied().filter(|node| second.contains(node)).collect();
+                Some(if both.is_empty() { first } else { both })
+            }
+            (first, second) => first.or(second),
+        }
+    }
+
     /// Whether the active or the proposed version excludes the node, so that no new attempt may be sent to it.
     pub fn is_excluded(&self, node: &str) -> bool {
         self.snapshot.excluded_nodes.contains(node)
--- a/crates/dunepond-consensus/tests/lease_client.rs
+++ b/crates/dunepond-consensus/tests/lease_client.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use dunepond_consensus::*;
+use dunepond_shard_map::ShardMap;
 use dunepond_simulation::fixtures::{config_version, consensus_config, routing_rules, shard_map};
 
 /// A lease grant with the given active and proposed version and their documents. The state in the grant is applied up
@@ -269,6 +270,36 @@
     );
 }
 
+/// Returns a shard map like [`shard_map`], in which segment 0 has moved from node `s0a` to node `new`.
+fn map_with_moved_segment(epoch: u64) -> ShardMap {
+    let mut map = shard_map(epoch, false);
+    map.segments[0].replicas[0].node = "new".to_string();
+    map.segments[0].owner = "s0b".to_string();
+    map.with_digest()
+}
+
+/// Guards against reads from a node that a later version drops, and from one that an earlier version does not name.
+#[test]
+fn segment_is_read_only_from_replicas_of_all_versions_in_force() {
+    let (first, second) =
+        (config_version(1, Some(shard_map(1, false))), config_version(2, Some(map_with_moved_segment(2))));
+    let mut client = lease_client();
+    assert_eq!(client.active_config().readable_replicas(0, 100.0), None);
+    let request = next_request(&mut client, 100.0);
+    deliver_grant(&mut client, 100.1, &request, grant(5, Some(&first), None)).unwrap();
+    assert_eq!(client.active_config().readable_replicas(0, 100.2), Some(vec!["s0a", "s0b"]));
+    let request = next_request(&mut client, 100.9);
+    deliver_grant(&mut client, 101.0, &request, grant(6, Some(&first), Some((&second, RolloutStep::Joint))))
+        .unwrap();
+    assert_eq!(client.active_config().readable_replicas(0, 101.1), Some(vec!["s0b"]));
+    // Without a lease the broker cannot know which version is in force.
+    assert_eq!(client.active_config().readable_replicas(0, 110.0), Some(vec!["s0b"]));
+    let request = next_request(&mut client, 110.0);
+    deliver_grant(&mut client, 110.1, &request, grant(7, Some(&second), None)).unwrap();
+    assert_eq!(client.active_config().readable_replicas(0, 110.2), Some(vec!["new", "s0b"]));
+    assert_eq!(client.active_config().readable_replicas(99, 110.2), None);
+}
+
 #[test]
 fn without_maps_expired_lease_allows_any_replica() {
     let config = ConsensusConfig { maps_enabled: false, ..consensus_config("n1", 3) };
--- a/crates/dunepond-routing/src/policy/endpoint_list.rs
+++ b/crates/dunepond-routing/src/policy/endpoint_list.rs
@@ -4,7 +4,7 @@
 //! time (seconds) within which it must be polled. A node listed as draining or removed gets no new work; a node
 //! listed as active is still subject to outlier detection.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
 
 use rand::RngExt;
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Sets the nodes from which these segments may be read, in place of the replica groups. All other segments follow the
+    /// groups again. A part is sent to no other node from now on; ids that no listed node has are ignored.
+    pub fn set_segment_replicas(&mut self, replicas: BTreeMap<usize, Vec<NodeId>>) {
+        self.segment_replicas = replicas;
+    }
+
     /// Forgets a removed node that has no outstanding attempt. The host may then assign its id to another node.
     ///
     /// # Panics
@@ -110,7 +116,7 @@
                 part.required_node = Some(NodeId::MAX);
             }
         }
-        for group in &mut self.replica_groups {
+        for group in self.replica_groups.iter_mut().chain(self.segment_replicas.values_mut()) {
             group.retain(|member| *member != id);
         }
     }
--- a/crates/dunepond-routing/src/policy/placement.rs
+++ b/crates/dunepond-routing/src/policy/placement.rs
@@ -45,7 +45,7 @@
 }
 
 impl Router {
-    /// Returns the active replicas of a segment. If a node is required, the other replicas are left out.
+    /// Returns the active replicas of a segment: those that were set for it, or else those of its replica groups. If a node is required, the other replicas are left out.
     pub(super) fn replicas(
         &self,
         segment: usize,
@@ -53,8 +53,11 @@
     ) -> impl Iterator<Item = (NodeId, &Node)> {
         let groups = self.replica_groups.len();
         let count = self.deployment.replicas.min(groups);
-        let ids = (0..count).flat_map(move |offset| &self.replica_groups[(segment + offset) % groups]);
-        let known = ids.filter_map(|id| self.nodes[*id].as_ref().map(|node| (*id, node)));
+        let agreed = self.segment_replicas.get(&segment);
+        let grouped = (0..if agreed.is_some() { 0 } else { count })
+            .flat_map(move |offset| &self.replica_groups[(segment + offset) % groups]);
+        let ids = agreed.into_iter().flatten().chain(grouped);
+        let known = ids.filter_map(|id| Some((*id, self.nodes.get(*id)?.as_ref()?)));
         known.filter(move |(id, node)| {
             node.state == EndpointState::Active && required.is_none_or(|required| required == *id)
         })
--- a/crates/dunepond-routing/src/state/mod.rs
+++ b/crates/dunepond-routing/src/state/mod.rs
@@ -41,6 +41,8 @@
     pub(crate) nodes: Vec<Option<Node>>,
     /// Node ids by replica group, so that the cost of placing a part does not grow with the number of nodes.
     pub(crate) replica_groups: Vec<Vec<NodeId>>,
+    /// Node ids by segment, of the segments whose replicas do not follow from the replica groups.
+    pub(crate) segment_replicas: BTreeMap<usize, Vec<NodeId>>,
     pub(crate) queries: BTreeMap<QueryId, InFlightQuery>,
     pub(crate) latency: LatencyStats,
     pub(crate) admission: AdmissionHistory,
@@ -99,6 +101,7 @@
             rng: Pcg64Mcg::seed_from_u64(deployment.seed),
             nodes: Vec::new(),
             replica_groups: vec![Vec::new(); deployment.replica_groups],
+            segment_replicas: BTreeMap::new(),
             queries: BTreeMap::new(),
             latency: LatencyStats::new(&deployment),
             admission: AdmissionHistory::new(&deployment),
--- a/crates/dunepond-routing/tests/placement.rs
+++ b/crates/dunepond-routing/tests/placement.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use dunepond_routing::*;
 use rstest::rstest;
 use support::*;
@@ -44,6 +46,33 @@
     assert!((45..75).contains(&near), "{near}");
 }
 
+/// Guards against reads from a node that no longer holds a segment: discovery still lists it in the replica group, but a plan has
+/// moved the segment to a node of another group.
+#[test]
+fn moved_segment_is_read_only_from_its_new_replicas() {
+    let mut cluster = Cluster::new(deployment());
+    let chosen_nodes = |cluster: &mut Cluster, segment| {
+        let queries: Vec<_> = (0..60)
+            .map(|_| {
+                let query = cluster.query(FULL, &[segment]);
+                cluster.run(1.0);
+                query
+            })
+            .collect();
+        queries.iter().flat_map(|query| cluster.sent(*query)).map(|sent| sent.node).collect::<BTreeSet<_>>()
+    };
+    let grouped = chosen_nodes(&mut cluster, 0);
+    let (dropped, added) = (grouped.iter().next().copied().unwrap(), 4);
+    assert!(!grouped.contains(&added));
+    let moved: BTreeSet<_> = grouped.iter().copied().filter(|node| *node != dropped).chain([added]).collect();
+    cluster.router.set_segment_replicas(BTreeMap::from([(0, moved.iter().copied().collect())]));
+    // Nearer replicas are preferred, so that not each of them need be chosen.
+    let chosen = chosen_nodes(&mut cluster, 0);
+    assert!(chosen.is_subset(&moved) && chosen.contains(&added), "{chosen:?}");
+    cluster.router.set_segment_replicas(BTreeMap::new());
+    assert!(chosen_nodes(&mut cluster, 0).is_subset(&grouped));
+}
+
 /// The node in the broker's zone is a quarter slower than the other replicas. It is still preferred if the cross-zone cost is
 /// high, but not if the cost is low.
 #[rstest]
