Fleet test: a node is searched only where the shard map names it

The test relied on the fault that repairs: the map named south's node for no segment, and yet it had to get searches, whose answers are settled later.

The map now names the node as filled for three of the six segments. The check that it gets attempts stays, and a new one holds that it gets none for the other three, which only the map says.

--- a/crates/dunepond-broker/tests/fleet/main.rs
+++ b/crates/dunepond-broker/tests/fleet/main.rs
@@ -240,6 +240,8 @@
         let mut version = version(number, &["s-0"]);
         for (id, row) in version["map"]["segments"].as_array_mut().unwrap().iter_mut().enumerate() {
             let mut holders = vec![holder("s-0", "north", true, 0.5), holder("s-1", "north", true, 0.5)];
+            // South's node is read from only where the map names it.
+            holders.extend((id < 3).then(|| holder("s-2", "south", true, 0.0)));
             holders.extend(third.clone().filter(|_| id as u64 == segment));
             row["holders"] = json!(holders);
         }
@@ -254,7 +256,11 @@
         scan.replacen("X-Call-Id", "X-Caller: mill\r\nX-Call-Id", 1)
     };
     (0..10).for_each(|i| drop(Client::connect(&broker).request(&tenant_query(i))));
-    let max_bytes = fleet.nodes[2].frames_of_type('A').len() as u64 * "v-q1".len() as u64;
+    let attempts = fleet.nodes[2].frames_of_type('A');
+    let is_of_unheld =
+        |frame: &String| (3..6).any(|segment| frame.contains(&format!(".{segment} {segment} d=")));
+    assert!(!attempts.iter().any(is_of_unheld), "south's node does not hold these segments: {attempts:?}");
+    let max_bytes = attempts.len() as u64 * "v-q1".len() as u64;
     assert!(max_bytes > 0, "south's node received no attempt");
     thread::sleep(Duration::from_millis(1700));
 
